--- /dev/null
+++ b/monsoonvalve-burn/src/main/java/org/monsoonvalve/burn/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Lives as long as one run of the burn report.
+ */
+package org.monsoonvalve.burn.process;
--- /dev/null
+++ b/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/ControllerMain.java
@@ -0,0 +1,89 @@
+package org.monsoonvalve.controller.process;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+import org.monsoonvalve.core.connection.Headers;
+import org.monsoonvalve.core.connection.HttpFrontend;
+import org.monsoonvalve.core.connection.HttpLimits;
+import org.monsoonvalve.core.connection.IncomingCall;
+import org.monsoonvalve.core.process.EventLog;
+import org.monsoonvalve.core.process.LeaseElection;
+import org.monsoonvalve.core.process.LogEvent;
+import org.monsoonvalve.core.process.Logs;
+import org.monsoonvalve.core.process.Mechanism;
+import org.monsoonvalve.core.process.Node;
+import org.monsoonvalve.core.process.NodeSettings;
+import org.monsoonvalve.core.process.Setting;
+import org.monsoonvalve.core.process.Settings;
+import org.monsoonvalve.core.request.FailureCode;
+import org.monsoonvalve.core.request.ServingException;
+
+/**
+ * Starts and ends a controller.
+ *
+ * @author monsoonvalve maintainers
+ */
+public final class ControllerMain {
+
+	private static final Setting<String> MECHANISMS_OFF = Setting
+		.text("test-mechanisms-off", "for tests only: mechanisms to switch off, separated by commas")
+		.orElse(",");
+
+	private static final long ELECTION_PERIOD_MILLIS = 1000;
+
+	private static final long PLAN_PERIOD_MILLIS = 500;
+
+	private static final long STOP_GRACE_MILLIS = 500;
+
+	private static final int OK = 200;
+
+	private ControllerMain() {
+	}
+
+	/**
+	 * Runs a controller until it is told to end.
+	 * @param arguments the command line
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public static void main(String[] arguments) throws InterruptedException {
+		List<Setting<?>> known = new ArrayList<>(NodeSettings.all());
+		known.add(MECHANISMS_OFF);
+		Settings parsed = Settings.parseOrExit("monsoonvalve-controller",
+				"Forms the replica groups of its availability zone and gives model engines their orders.", known,
+				arguments);
+		Mechanism.switchOff(parsed.get(MECHANISMS_OFF));
+		NodeSettings settings = NodeSettings.of(parsed);
+		Logs.configure(settings.logFormat());
+		EventLog log = EventLog.of(ControllerMain.class);
+		Node node = Node.start(settings, "controller");
+		LeaseElection election = LeaseElection.of(node.platform(), node.clock(), "groups/" + settings.zone(),
+				settings.id());
+		GroupKeeper keeper = new GroupKeeper(node, election);
+		node.every("election", ELECTION_PERIOD_MILLIS, election::tick);
+		node.every("groups", PLAN_PERIOD_MILLIS, keeper::tick);
+		HttpFrontend frontend = HttpFrontend.start(settings.httpListen(), HttpLimits.defaults(),
+				ControllerMain::handle);
+		CountDownLatch stopped = new CountDownLatch(1);
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+			election.resign();
+			node.leave();
+			frontend.shutdown(STOP_GRACE_MILLIS);
+			node.close();
+			log.emit(LogEvent.STOPPED, 0);
+			stopped.countDown();
+		}, "shutdown"));
+		log.emit(LogEvent.STARTED, "controller", settings.id(), settings.httpListen(), settings.peerListen());
+		stopped.await();
+	}
+
+	private static void handle(IncomingCall call) {
+		if (!call.path().equals("/healthz")) {
+			throw new ServingException(FailureCode.NOT_FOUND, "no resource " + call.path());
+		}
+		call.reply(OK, Headers.empty(), "ok\n".getBytes(StandardCharsets.UTF_8));
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/GroupKeeper.java
@@ -0,0 +1,199 @@
+package org.monsoonvalve.controller.process;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import org.monsoonvalve.controller.version.GroupPlan;
+import org.monsoonvalve.controller.version.GroupPlanner;
+import org.monsoonvalve.controller.version.VmView;
+import org.monsoonvalve.core.connection.EngineOrder;
+import org.monsoonvalve.core.connection.HttpCall;
+import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.process.Codec;
+import org.monsoonvalve.core.process.ElapsedClock;
+import org.monsoonvalve.core.process.EventLog;
+import org.monsoonvalve.core.process.LeaseElection;
+import org.monsoonvalve.core.process.LogEvent;
+import org.monsoonvalve.core.process.Mechanism;
+import org.monsoonvalve.core.process.Node;
+import org.monsoonvalve.core.request.ServingException;
+import org.monsoonvalve.core.version.Configuration;
+import org.monsoonvalve.core.version.DocumentKey;
+import org.monsoonvalve.core.version.Envelope;
+import org.monsoonvalve.core.version.GroupTable;
+import org.monsoonvalve.core.version.Inventory;
+import org.monsoonvalve.core.version.VersionedDocument;
+
+/**
+ * Keeps the replica groups of one availability zone while this process holds the zone's
+ * lease: the table is written at the platform before any order is given, and the lease is
+ * checked before each order.
+ *
+ * @author monsoonvalve maintainers
+ */
+final class GroupKeeper {
+
+	private static final long PLATFORM_TIMEOUT_MILLIS = 2000;
+
+	private static final long ORDER_TIMEOUT_MILLIS = 2000;
+
+	private static final long ORDER_REPEAT_MILLIS = 1500;
+
+	private static final int ANSWER_LIMIT_BYTES = 16 * 1024;
+
+	private final EventLog log = EventLog.of(GroupKeeper.class);
+
+	private final Node node;
+
+	private final LeaseElection election;
+
+	private final VmWatch watch;
+
+	private final DocumentKey key;
+
+	private final Map<String, ElapsedClock.Reading> lastOrders = new ConcurrentHashMap<>();
+
+	private boolean active;
+
+	GroupKeeper(Node node, LeaseElection election) {
+		this.node = node;
+		this.election = election;
+		this.watch = new VmWatch(node);
+		this.key = DocumentKey.groups(node.settings().zone());
+	}
+
+	/**
+	 * Observes, plans, writes and orders once.
+	 */
+	void tick() {
+		if (!this.election.held() || !this.node.configuration().ready()) {
+			stepDown("the lease is not held or no configuration is known");
+			return;
+		}
+		if (!this.active) {
+			this.active = true;
+			this.watch.reset();
+			this.log.emit(LogEvent.CONTROLLER_ACTIVE, this.node.settings().zone());
+		}
+		List<VmView> views = this.watch.round();
+		Optional<VersionedDocument> present = readTable();
+		GroupTable table = present.map(GroupTable::decode)
+			.orElseGet(() -> GroupTable.empty(this.node.settings().zone()));
+		Configuration configuration = this.node.configuration();
+		GroupPlan plan = GroupPlanner.plan(configuration, table, views, this.node.clock().wallMillis());
+		if (!plan.changed() || write(present, plan)) {
+			giveOrders(plan.table(), views);
+		}
+	}
+
+	private void stepDown(String reason) {
+		if (this.active) {
+			this.active = false;
+			this.log.emit(LogEvent.CONTROLLER_PASSIVE, this.node.settings().zone(), reason);
+		}
+	}
+
+	private Optional<VersionedDocument> readTable() {
+		PlatformStore.Snapshot snapshot = this.node.platform()
+			.read(this.key.path(), 0)
+			.orTimeout(PLATFORM_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+			.join();
+		return snapshot.entries()
+			.stream()
+			.filter((entry) -> entry.key().equals(this.key.path()))
+			.findFirst()
+			.map((entry) -> new VersionedDocument(this.key, entry.revision(), entry.value()));
+	}
+
+	private boolean write(Optional<VersionedDocument> present, GroupPlan plan) {
+		long base = present.map(VersionedDocument::revision).orElse(0L);
+		String text = new String(Codec.JSON.encode(plan.table()), StandardCharsets.UTF_8);
+		Envelope.Change change = new Envelope.Change(UUID.randomUUID().toString(), this.node.settings().id().value(),
+				this.node.clock().wallMillis(), base);
+		byte[] value = Envelope.of(change, text).encode();
+		if (!this.election.held()) {
+			return false;
+		}
+		PlatformStore.WriteResult result = this.node.platform()
+			.write(this.key.path(), base, value, 0)
+			.orTimeout(PLATFORM_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+			.join();
+		if (result.succeeded()) {
+			this.node.accept(new VersionedDocument(this.key, result.revision(), value));
+			plan.changes().forEach(this::logChange);
+		}
+		return result.succeeded();
+	}
+
+	private void logChange(GroupPlan.Change change) {
+		switch (change.kind()) {
+			case FORMED -> this.log.emit(LogEvent.GROUP_FORMED, change.name(), change.fence(), change.detail());
+			case DISSOLVED -> this.log.emit(LogEvent.GROUP_DISSOLVED, change.name(), change.fence(), change.detail());
+			case RELEASED -> this.log.emit(LogEvent.VM_RELEASED, change.name(), change.detail());
+		}
+	}
+
+	private void giveOrders(GroupTable table, List<VmView> views) {
+		Map<String, VmView> byName = views.stream()
+			.collect(Collectors.toMap((view) -> view.vm().id(), Function.identity()));
+		table.releasing()
+			.stream()
+			.filter((release) -> byName.containsKey(release.vm()))
+			.map((release) -> byName.get(release.vm()))
+			.filter((view) -> view.status().filter((said) -> !said.group().isEmpty()).isPresent())
+			.forEach((view) -> unload(table, view));
+		table.groups()
+			.forEach((group) -> group.members()
+				.stream()
+				.map(byName::get)
+				.filter((view) -> view != null && view.status().isPresent() && !view.follows(group))
+				.forEach((view) -> load(group, view)));
+	}
+
+	private void unload(GroupTable table, VmView view) {
+		long fence = table.releasing()
+			.stream()
+			.filter((release) -> release.vm().equals(view.vm().id()))
+			.mapToLong(GroupTable.Release::fence)
+			.max()
+			.orElse(table.lastFence());
+		order(view.vm(), new EngineOrder(EngineOrder.UNLOAD, "", fence, "", List.of()));
+	}
+
+	private void load(GroupTable.Group group, VmView view) {
+		Configuration configuration = this.node.configuration();
+		order(view.vm(), new EngineOrder(EngineOrder.LOAD, group.id(), group.fence(),
+				group.model() + "@" + group.version(),
+				group.members().stream().map((vm) -> configuration.vms().get(vm)).map(Inventory.Vm::address).toList()));
+	}
+
+	private CompletableFuture<Void> order(Inventory.Vm vm, EngineOrder order) {
+		String identity = vm.id() + " " + order.order() + " " + order.fence();
+		ElapsedClock.Reading last = this.lastOrders.get(identity);
+		boolean recent = last != null && this.node.clock().elapsedMillis(last) < ORDER_REPEAT_MILLIS;
+		if (recent || (!this.election.held() && Mechanism.LEASE_CHECK.on())) {
+			return CompletableFuture.completedFuture(null);
+		}
+		this.lastOrders.put(identity, this.node.clock().now());
+		this.log.emit(LogEvent.ORDER_SENT, order.order(), order.fence(), vm.id());
+		return this.node.http()
+			.once(vm.address(), HttpCall.json("POST", "/orders", order), ORDER_TIMEOUT_MILLIS, ANSWER_LIMIT_BYTES)
+			.handle((reply, failure) -> {
+				if (failure != null || !reply.successful()) {
+					String reason = (failure != null) ? ServingException.from(failure).getMessage()
+							: "status " + reply.status();
+					this.log.emit(LogEvent.ORDER_FAILED, order.order(), order.fence(), vm.id(), reason);
+				}
+				return null;
+			});
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/Address.java
@@ -0,0 +1,63 @@
+package org.monsoonvalve.core.connection;
+
+import java.net.InetSocketAddress;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import org.monsoonvalve.core.request.FailureCode;
+import org.monsoonvalve.core.request.ServingException;
+
+/**
+ * An address of a process: an IP number and a port.
+ *
+ * @author monsoonvalve maintainers
+ * @param host the IP number
+ * @param port the TCP port
+ */
+public record Address(String host, int port) {
+
+	private static final int MAX_PORT = 65_535;
+
+	private static final String IP_CHARACTERS = "[0-9a-fA-F.:]+";
+
+	/**
+	 * Parses {@code host:port}.
+	 * @param text the text
+	 * @return the address
+	 * @throws ServingException with {@link FailureCode#INVALID_SETTING} if the text is
+	 * not an IP number and a port
+	 */
+	@JsonCreator
+	public static Address of(String text) {
+		int colon = text.lastIndexOf(':');
+		if (colon <= 0) {
+			throw invalid(text);
+		}
+		String host = text.substring(0, colon);
+		String port = text.substring(colon + 1);
+		if (!host.matches(IP_CHARACTERS) || !port.matches("[0-9]{1,5}") || Integer.parseInt(port) > MAX_PORT) {
+			throw invalid(text);
+		}
+		return new Address(host, Integer.parseInt(port));
+	}
+
+	private static ServingException invalid(String text) {
+		return new ServingException(FailureCode.INVALID_SETTING,
+				"address '" + text + "' is not an IP number and a port, such as 10.0.0.1:8080");
+	}
+
+	/**
+	 * Converts to a socket address, without any name look-up.
+	 * @return the socket address
+	 */
+	public InetSocketAddress toSocketAddress() {
+		return new InetSocketAddress(this.host, this.port);
+	}
+
+	@JsonValue
+	@Override
+	public String toString() {
+		return this.host + ":" + this.port;
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EngineOrder.java
@@ -0,0 +1,23 @@
+package org.monsoonvalve.core.connection;
+
+import java.util.List;
+
+/**
+ * An order to a model engine, sent as {@code POST /orders}.
+ *
+ * @author monsoonvalve maintainers
+ * @param order {@code load} or {@code unload}
+ * @param group the replica group
+ * @param fence the fencing number; engines that honour it refuse lower ones
+ * @param model the model and version to load
+ * @param members the addresses of the group's members, the leader first
+ */
+public record EngineOrder(String order, String group, long fence, String model, List<Address> members) {
+
+	/** Orders an engine to load a model and join a group. */
+	public static final String LOAD = "load";
+
+	/** Orders an engine to leave its group and free its memory. */
+	public static final String UNLOAD = "unload";
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpCall.java
@@ -0,0 +1,48 @@
+package org.monsoonvalve.core.connection;
+
+import org.monsoonvalve.core.process.Codec;
+
+/**
+ * An HTTP request to be sent.
+ *
+ * @author monsoonvalve maintainers
+ * @param method the method, such as {@code POST}
+ * @param target the path and query
+ * @param headers the header fields, without {@code Host} and {@code Content-Length}
+ * @param body the content, empty if there is none
+ */
+public record HttpCall(String method, String target, Headers headers, byte[] body) {
+
+	private static final byte[] NO_BODY = new byte[0];
+
+	/**
+	 * Creates a request without content.
+	 * @param target the path and query
+	 * @return the request
+	 */
+	public static HttpCall get(String target) {
+		return new HttpCall("GET", target, Headers.empty(), NO_BODY);
+	}
+
+	/**
+	 * Creates a request with JSON content.
+	 * @param method the method
+	 * @param target the path and query
+	 * @param value the value to encode
+	 * @return the request
+	 */
+	public static HttpCall json(String method, String target, Object value) {
+		return new HttpCall(method, target, Headers.of("Content-Type", "application/json"), Codec.JSON.encode(value));
+	}
+
+	/**
+	 * Adds a header field.
+	 * @param name the field's name
+	 * @param value the field's value
+	 * @return the new request
+	 */
+	public HttpCall withHeader(String name, String value) {
+		return new HttpCall(this.method, this.target, this.headers.with(name, value), this.body);
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
@@ -0,0 +1,182 @@
+package org.monsoonvalve.core.connection;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.monsoonvalve.core.request.FailureCode;
+import org.monsoonvalve.core.request.ServingException;
+
+/**
+ * Opens pinned HTTP/1.1 connections.
+ *
+ * @author monsoonvalve maintainers
+ */
+public final class HttpClient implements AutoCloseable {
+
+	private static final Attribute<HttpConnection> CONNECTION = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
+		.createAttribute(HttpClient.class.getName());
+
+	private final TCPNIOTransport transport;
+
+	private final ScheduledExecutorService timer;
+
+	private final long connectTimeoutMillis;
+
+	private HttpClient(TCPNIOTransport transport, ScheduledExecutorService timer, long connectTimeoutMillis) {
+		this.transport = transport;
+		this.timer = timer;
+		this.connectTimeoutMillis = connectTimeoutMillis;
+	}
+
+	/**
+	 * Starts a client.
+	 * @param connectTimeoutMillis the longest time to open a connection, in milliseconds
+	 * @return the client
+	 */
+	public static HttpClient start(long connectTimeoutMillis) {
+		ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor((task) -> {
+			Thread thread = new Thread(task, "http-client-timer");
+			thread.setDaemon(true);
+			return thread;
+		});
+		if (timer instanceof java.util.concurrent.ScheduledThreadPoolExecutor pool) {
+			pool.setRemoveOnCancelPolicy(true);
+		}
+		TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
+			.setProcessor(FilterChainBuilder.stateless()
+				.add(new TransportFilter())
+				.add(new HttpClientFilter())
+				.add(new ReplyFilter())
+				.build())
+			.setIOStrategy(SameThreadIOStrategy.getInstance())
+			.setTcpNoDelay(true)
+			.build();
+		transport.setConnectionTimeout((int) connectTimeoutMillis);
+		try {
+			transport.start();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return new HttpClient(transport, timer, connectTimeoutMillis);
+	}
+
+	/**
+	 * Opens a connection.
+	 * @param address the address
+	 * @return the connection, or a {@link ServingException} with
+	 * {@link FailureCode#UNREACHABLE}
+	 */
+	public CompletableFuture<HttpConnection> connect(Address address) {
+		CompletableFuture<HttpConnection> opened = new CompletableFuture<>();
+		this.transport.connect(address.toSocketAddress(), new EmptyCompletionHandler<>() {
+
+			@Override
+			@SuppressWarnings("rawtypes")
+			public void completed(Connection connection) {
+				HttpConnection wrapped = new HttpConnection(address, connection, HttpClient.this.timer);
+				CONNECTION.set(connection, wrapped);
+				if (!opened.complete(wrapped)) {
+					wrapped.close();
+				}
+			}
+
+			@Override
+			public void failed(Throwable cause) {
+				opened.completeExceptionally(unreachable(address, cause.getMessage()));
+			}
+
+			@Override
+			public void cancelled() {
+				opened.completeExceptionally(unreachable(address, "cancelled"));
+			}
+		});
+		this.timer.schedule(() -> opened.completeExceptionally(unreachable(address, "connect timeout")),
+				this.connectTimeoutMillis, TimeUnit.MILLISECONDS);
+		return opened;
+	}
+
+	/**
+	 * Sends one request on a new connection and closes it afterwards.
+	 * @param address the address
+	 * @param call the request
+	 * @param timeoutMillis the longest time for the exchange, in milliseconds
+	 * @param limitBytes the largest content, in bytes
+	 * @return the response, or a {@link ServingException}
+	 */
+	public CompletableFuture<HttpReply> once(Address address, HttpCall call, long timeoutMillis, int limitBytes) {
+		return connect(address).thenCompose((connection) -> connection.exchange(call, timeoutMillis, limitBytes)
+			.whenComplete((reply, failure) -> connection.close()));
+	}
+
+	/**
+	 * Returns the timer that drives timeouts.
+	 * @return the timer
+	 */
+	public ScheduledExecutorService timer() {
+		return this.timer;
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+		try {
+			this.transport.shutdownNow();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static ServingException unreachable(Address address, String detail) {
+		return new ServingException(FailureCode.UNREACHABLE, address + " can't be reached: " + detail);
+	}
+
+	private static final class ReplyFilter extends BaseFilter {
+
+		@Override
+		public NextAction handleRead(FilterChainContext context) {
+			HttpContent content = context.getMessage();
+			HttpConnection connection = CONNECTION.get(context.getConnection());
+			if (connection != null) {
+				connection.received(content);
+			}
+			content.recycle();
+			return context.getStopAction();
+		}
+
+		@Override
+		public NextAction handleClose(FilterChainContext context) {
+			HttpConnection connection = CONNECTION.get(context.getConnection());
+			if (connection != null) {
+				connection.ended();
+			}
+			return context.getInvokeAction();
+		}
+
+		@Override
+		public void exceptionOccurred(FilterChainContext context, Throwable error) {
+			context.getConnection().closeSilently();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
@@ -0,0 +1,255 @@
+package org.monsoonvalve.core.connection;
+
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.monsoonvalve.core.request.FailureCode;
+import org.monsoonvalve.core.request.ServingException;
+
+/**
+ * A client connection with at most one request in flight. A connection whose request
+ * failed or timed out is closed and never used again, so a late answer can't reach
+ * another request.
+ *
+ * @author monsoonvalve maintainers
+ */
+public final class HttpConnection {
+
+	private final Address address;
+
+	private final Connection<?> connection;
+
+	private final ScheduledExecutorService timer;
+
+	private final AtomicReference<Exchange> current = new AtomicReference<>();
+
+	HttpConnection(Address address, Connection<?> connection, ScheduledExecutorService timer) {
+		this.address = address;
+		this.connection = connection;
+		this.timer = timer;
+	}
+
+	/**
+	 * Returns the address of the other end.
+	 * @return the address
+	 */
+	public Address address() {
+		return this.address;
+	}
+
+	/**
+	 * Tells whether the connection can carry a request now.
+	 * @return {@code true} if it is open and no request is in flight
+	 */
+	public boolean idle() {
+		return this.connection.isOpen() && this.current.get() == null;
+	}
+
+	/**
+	 * Sends a request whose response is delivered as it arrives.
+	 * @param call the request
+	 * @param progressTimeoutMillis the longest silence, in milliseconds, before the
+	 * request fails with {@link FailureCode#TIMEOUT}
+	 * @param listener the receiver of the response
+	 * @throws ServingException with {@link FailureCode#UNREACHABLE} if the connection
+	 * can't carry a request; no byte of it was sent then
+	 */
+	public void send(HttpCall call, long progressTimeoutMillis, ReplyListener listener) {
+		Exchange exchange = new Exchange(listener, progressTimeoutMillis);
+		if (!this.connection.isOpen() || !this.current.compareAndSet(null, exchange)) {
+			throw new ServingException(FailureCode.UNREACHABLE, "the connection to " + this.address + " is not idle");
+		}
+		exchange.restartTimeout();
+		this.connection.write(encode(call));
+		if (!this.connection.isOpen()) {
+			ended();
+		}
+	}
+
+	/**
+	 * Sends a request and collects the whole response.
+	 * @param call the request
+	 * @param timeoutMillis the longest time for the whole exchange, in milliseconds
+	 * @param limitBytes the largest content, in bytes
+	 * @return the response, or a {@link ServingException}
+	 */
+	public CompletableFuture<HttpReply> exchange(HttpCall call, long timeoutMillis, int limitBytes) {
+		Collector collector = new Collector(limitBytes);
+		try {
+			send(call, timeoutMillis, collector);
+		}
+		catch (ServingException ex) {
+			collector.onFailure(ex);
+		}
+		ScheduledFuture<?> deadline = this.timer.schedule(
+				() -> fail(new ServingException(FailureCode.TIMEOUT,
+						this.address + " did not finish within " + timeoutMillis + " ms")),
+				timeoutMillis, TimeUnit.MILLISECONDS);
+		collector.reply.whenComplete((reply, failure) -> deadline.cancel(false));
+		return collector.reply;
+	}
+
+	/**
+	 * Closes the connection; a request in flight fails with
+	 * {@link FailureCode#ENDPOINT_LOST}.
+	 */
+	public void close() {
+		this.connection.closeSilently();
+		ended();
+	}
+
+	void ended() {
+		fail(new ServingException(FailureCode.ENDPOINT_LOST, "the connection to " + this.address + " was closed"));
+	}
+
+	void received(HttpContent content) {
+		Exchange exchange = this.current.get();
+		if (exchange == null) {
+			this.connection.closeSilently();
+			return;
+		}
+		exchange.restartTimeout();
+		exchange.accept(content);
+	}
+
+	private void fail(ServingException failure) {
+		Exchange exchange = this.current.get();
+		if (exchange != null && this.current.compareAndSet(exchange, null)) {
+			this.connection.closeSilently();
+			exchange.cancelTimeout();
+			exchange.listener.onFailure(failure);
+		}
+	}
+
+	private HttpContent encode(HttpCall call) {
+		HttpRequestPacket.Builder builder = HttpRequestPacket.builder()
+			.method(call.method())
+			.uri(call.target())
+			.protocol(Protocol.HTTP_1_1)
+			.header("Host", this.address.toString())
+			.contentLength(call.body().length);
+		call.headers().fields().forEach((field) -> builder.header(field.name(), field.value()));
+		Buffer body = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, call.body());
+		return HttpContent.builder(builder.build()).content(body).last(true).build();
+	}
+
+	private final class Exchange {
+
+		private final ReplyListener listener;
+
+		private final long progressTimeoutMillis;
+
+		private volatile ScheduledFuture<?> timeout;
+
+		private boolean headersSeen;
+
+		private Exchange(ReplyListener listener, long progressTimeoutMillis) {
+			this.listener = listener;
+			this.progressTimeoutMillis = progressTimeoutMillis;
+		}
+
+		private void restartTimeout() {
+			cancelTimeout();
+			this.timeout = HttpConnection.this.timer.schedule(this::expire, this.progressTimeoutMillis,
+					TimeUnit.MILLISECONDS);
+		}
+
+		private void cancelTimeout() {
+			ScheduledFuture<?> pending = this.timeout;
+			if (pending != null) {
+				pending.cancel(false);
+			}
+		}
+
+		private void expire() {
+			if (HttpConnection.this.current.get() == this) {
+				fail(new ServingException(FailureCode.TIMEOUT,
+						HttpConnection.this.address + " was silent for " + this.progressTimeoutMillis + " ms"));
+			}
+		}
+
+		private void accept(HttpContent content) {
+			if (!this.headersSeen) {
+				this.headersSeen = true;
+				HttpResponsePacket response = (HttpResponsePacket) content.getHttpHeader();
+				this.listener.onHeaders(response.getStatus(), headersOf(response));
+			}
+			Buffer buffer = content.getContent();
+			if (buffer.hasRemaining()) {
+				byte[] chunk = new byte[buffer.remaining()];
+				buffer.get(chunk);
+				this.listener.onBody(chunk);
+			}
+			if (content.isLast() && HttpConnection.this.current.compareAndSet(this, null)) {
+				cancelTimeout();
+				this.listener.onComplete();
+			}
+		}
+
+		private Headers headersOf(HttpResponsePacket response) {
+			java.util.List<Headers.Field> fields = new java.util.ArrayList<>();
+			for (String name : response.getHeaders().names()) {
+				response.getHeaders().values(name).forEach((value) -> fields.add(new Headers.Field(name, value)));
+			}
+			return new Headers(fields);
+		}
+
+	}
+
+	private static final class Collector implements ReplyListener {
+
+		private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+
+		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+		private final int limitBytes;
+
+		private int status;
+
+		private Headers headers = Headers.empty();
+
+		private Collector(int limitBytes) {
+			this.limitBytes = limitBytes;
+		}
+
+		@Override
+		public void onHeaders(int status, Headers headers) {
+			this.status = status;
+			this.headers = headers;
+		}
+
+		@Override
+		public void onBody(byte[] chunk) {
+			if (this.body.size() + chunk.length > this.limitBytes) {
+				onFailure(new ServingException(FailureCode.ANSWER_TOO_LARGE,
+						"the answer is larger than " + this.limitBytes + " bytes"));
+				return;
+			}
+			this.body.writeBytes(chunk);
+		}
+
+		@Override
+		public void onComplete() {
+			this.reply.complete(new HttpReply(this.status, this.headers, this.body.toByteArray()));
+		}
+
+		@Override
+		public void onFailure(ServingException failure) {
+			this.reply.completeExceptionally(failure);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
@@ -0,0 +1,120 @@
+package org.monsoonvalve.core.connection;
+
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/**
+ * A message between processes of the system.
+ *
+ * @author monsoonvalve maintainers
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({ @JsonSubTypes.Type(value = PeerFrame.Gossip.class, name = "g"),
+		@JsonSubTypes.Type(value = PeerFrame.GossipReply.class, name = "r"),
+		@JsonSubTypes.Type(value = PeerFrame.Push.class, name = "p"),
+		@JsonSubTypes.Type(value = PeerFrame.SlotRequest.class, name = "s"),
+		@JsonSubTypes.Type(value = PeerFrame.SlotReply.class, name = "t"),
+		@JsonSubTypes.Type(value = PeerFrame.SlotRelease.class, name = "u"),
+		@JsonSubTypes.Type(value = PeerFrame.Done.class, name = "d") })
+public sealed interface PeerFrame {
+
+	/**
+	 * Asks a peer for what the sender lacks.
+	 *
+	 * @param self the sender
+	 * @param digest the revisions that the sender keeps, by document path
+	 * @param members some of the members that the sender knows
+	 * @param leaving VMs that the platform's VM list lately named as leaving
+	 */
+	record Gossip(Member self, Map<String, Long> digest, List<Member> members,
+			List<LeavingVm> leaving) implements PeerFrame {
+
+	}
+
+	/**
+	 * Answers {@link Gossip}.
+	 *
+	 * @param self the answering process
+	 * @param digest the revisions that it keeps, by document path
+	 * @param documents the documents that the asking process lacks
+	 * @param members some of the members that it knows
+	 * @param leaving VMs that the platform's VM list lately named as leaving
+	 */
+	record GossipReply(Member self, Map<String, Long> digest, List<Document> documents, List<Member> members,
+			List<LeavingVm> leaving) implements PeerFrame {
+
+	}
+
+	/**
+	 * Hands newer documents to a peer.
+	 *
+	 * @param documents the documents
+	 */
+	record Push(List<Document> documents) implements PeerFrame {
+
+	}
+
+	/**
+	 * Asks the issuer for a cold-start slot.
+	 *
+	 * @param requester the asking process
+	 * @param vm the endpoint's VM
+	 * @param bootId the endpoint's incarnation
+	 * @param uptimeMillis how long that incarnation has run, in milliseconds
+	 * @param capacity how many requests the endpoint can bear at once
+	 */
+	record SlotRequest(String requester, String vm, String bootId, long uptimeMillis,
+			int capacity) implements PeerFrame {
+
+	}
+
+	/**
+	 * Answers {@link SlotRequest}.
+	 *
+	 * @param slotId the slot, or an empty string if none was issued
+	 */
+	record SlotReply(String slotId) implements PeerFrame {
+
+	}
+
+	/**
+	 * Gives a cold-start slot back.
+	 *
+	 * @param slotId the slot
+	 */
+	record SlotRelease(String slotId) implements PeerFrame {
+
+	}
+
+	/**
+	 * Acknowledges a message that has no other answer.
+	 */
+	record Done() implements PeerFrame {
+
+	}
+
+	/**
+	 * A replicated document.
+	 *
+	 * @param path the document's path
+	 * @param revision the platform's revision
+	 * @param bytes the stored value
+	 */
+	record Document(String path, long revision, byte[] bytes) {
+
+	}
+
+	/**
+	 * A VM that the platform's VM list named as leaving.
+	 *
+	 * @param vm the VM's name
+	 * @param ageMillis how long ago the list was read, in milliseconds
+	 */
+	record LeavingVm(String vm, long ageMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/VmList.java
@@ -0,0 +1,86 @@
+package org.monsoonvalve.core.connection;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.monsoonvalve.core.process.Codec;
+import org.monsoonvalve.core.request.FailureCode;
+import org.monsoonvalve.core.request.ServingException;
+
+/**
+ * Reads the platform's lagging list of live and leaving VMs.
+ *
+ * @author monsoonvalve maintainers
+ */
+public final class VmList {
+
+	private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+	private final HttpClient client;
+
+	private final Address address;
+
+	private final String userAgent;
+
+	private final long timeoutMillis;
+
+	private VmList(HttpClient client, Address address, String userAgent, long timeoutMillis) {
+		this.client = client;
+		this.address = address;
+		this.userAgent = userAgent;
+		this.timeoutMillis = timeoutMillis;
+	}
+
+	/**
+	 * Creates a reader of the list.
+	 * @param client opens connections
+	 * @param address the platform's address
+	 * @param userAgent names this process to the platform
+	 * @param timeoutMillis the longest time for one call, in milliseconds
+	 * @return the reader
+	 */
+	public static VmList of(HttpClient client, Address address, String userAgent, long timeoutMillis) {
+		return new VmList(client, address, userAgent, timeoutMillis);
+	}
+
+	/**
+	 * Reads the list.
+	 * @return the VMs
+	 */
+	public CompletableFuture<Content> read() {
+		HttpCall call = HttpCall.get("/v1/vms").withHeader("User-Agent", this.userAgent);
+		return this.client.once(this.address, call, this.timeoutMillis, MAX_ANSWER_BYTES).thenApply((reply) -> {
+			if (!reply.successful()) {
+				throw new ServingException(FailureCode.PLATFORM_UNAVAILABLE,
+						"the VM list answered with status " + reply.status());
+			}
+			return Codec.JSON.decode(reply.body(), Content.class);
+		});
+	}
+
+	/**
+	 * The list's content.
+	 *
+	 * @param vms the VMs
+	 */
+	public record Content(List<Vm> vms) {
+
+	}
+
+	/**
+	 * A VM as the platform sees it.
+	 *
+	 * @param id its name
+	 * @param state {@code live}, {@code leaving} or {@code destroyed}
+	 */
+	public record Vm(String id, String state) {
+
+		/** The state of a VM that is about to be taken away. */
+		public static final String LEAVING = "leaving";
+
+		/** The state of a VM that no longer exists. */
+		public static final String DESTROYED = "destroyed";
+
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
@@ -0,0 +1,163 @@
+package org.monsoonvalve.core.process;
+
+import java.nio.charset.StandardCharsets;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.request.FailureCode;
+import org.monsoonvalve.core.request.ServingException;
+
+/**
+ * Holds a role for one process at a time by a lease at the platform. The holder judges
+ * its own lease by the time since it began its last successful renewal, so a process that
+ * was paused knows that it may no longer hold it.
+ *
+ * @author monsoonvalve maintainers
+ */
+public final class LeaseElection {
+
+	private static final long TTL_SECONDS = 5;
+
+	private static final long VALID_MILLIS = 3500;
+
+	private static final long CALL_TIMEOUT_MILLIS = 2000;
+
+	private final PlatformStore platform;
+
+	private final ElapsedClock clock;
+
+	private final String key;
+
+	private final String candidate;
+
+	private final AtomicReference<Term> term = new AtomicReference<>();
+
+	private LeaseElection(PlatformStore platform, ElapsedClock clock, String key, String candidate) {
+		this.platform = platform;
+		this.clock = clock;
+		this.key = key;
+		this.candidate = candidate + "/" + UUID.randomUUID();
+	}
+
+	/**
+	 * Creates an election that has not begun.
+	 * @param platform keeps the lease
+	 * @param clock measures the age of renewals
+	 * @param role the role's name
+	 * @param candidate this process
+	 * @return the election
+	 */
+	public static LeaseElection of(PlatformStore platform, ElapsedClock clock, String role, NodeId candidate) {
+		return new LeaseElection(platform, clock, "monsoonvalve/leases/" + role, candidate.value());
+	}
+
+	/**
+	 * Renews the lease, or tries to get it; to be called about once a second.
+	 */
+	public void tick() {
+		Term held = this.term.get();
+		if (held != null && !renew(held)) {
+			this.term.compareAndSet(held, null);
+		}
+		if (this.term.get() == null) {
+			campaign();
+		}
+	}
+
+	/**
+	 * Tells whether this process holds the role at this moment.
+	 * @return {@code true} if its last renewal is recent enough
+	 */
+	public boolean held() {
+		Term held = this.term.get();
+		return held != null && this.clock.elapsedMillis(held.renewed()) < VALID_MILLIS;
+	}
+
+	/**
+	 * Tells how long this process has held the role without a break.
+	 * @return milliseconds since it was acquired, 0 if it is not held
+	 */
+	public long heldMillis() {
+		Term held = this.term.get();
+		return (held != null && held()) ? this.clock.elapsedMillis(held.acquired()) : 0;
+	}
+
+	/**
+	 * Gives the role up.
+	 */
+	public void resign() {
+		Term held = this.term.getAndSet(null);
+		if (held != null) {
+			this.platform.revokeLease(held.leaseId());
+		}
+	}
+
+	private boolean renew(Term held) {
+		ElapsedClock.Reading start = this.clock.now();
+		try {
+			if (await(this.platform.renewLease(held.leaseId()))) {
+				this.term.compareAndSet(held, new Term(held.leaseId(), held.acquired(), start));
+				return true;
+			}
+			return false;
+		}
+		catch (ServingException ex) {
+			return this.clock.elapsedMillis(held.renewed()) < TimeUnit.SECONDS.toMillis(TTL_SECONDS);
+		}
+	}
+
+	private void campaign() {
+		ElapsedClock.Reading start = this.clock.now();
+		long leaseId;
+		try {
+			leaseId = await(this.platform.grantLease(TTL_SECONDS));
+		}
+		catch (ServingException ex) {
+			return;
+		}
+		String value = this.candidate + "/" + leaseId;
+		if (claim(value, leaseId)) {
+			this.term.set(new Term(leaseId, this.clock.now(), start));
+		}
+		else {
+			this.platform.revokeLease(leaseId);
+		}
+	}
+
+	private boolean claim(String value, long leaseId) {
+		byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+		try {
+			PlatformStore.WriteResult result = await(this.platform.write(this.key, 0, bytes, leaseId));
+			return result.succeeded();
+		}
+		catch (ServingException ex) {
+			return false;
+		}
+	}
+
+	private <T> T await(CompletableFuture<T> answer) {
+		try {
+			return answer.get(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		catch (ExecutionException ex) {
+			throw ServingException.from(ex);
+		}
+		catch (TimeoutException ex) {
+			throw new ServingException(FailureCode.PLATFORM_UNAVAILABLE, "the platform did not answer in time", ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new ServingException(FailureCode.PLATFORM_UNAVAILABLE, "interrupted", ex);
+		}
+	}
+
+	private record Term(long leaseId, ElapsedClock.Reading acquired, ElapsedClock.Reading renewed) {
+
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-ctl/src/main/java/org/monsoonvalve/ctl/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests to the administration API.
+ */
+package org.monsoonvalve.ctl.request;
--- /dev/null
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
@@ -0,0 +1,175 @@
+package org.monsoonvalve.entry.connection;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.EndpointStatus;
+import org.monsoonvalve.core.connection.PeerFrame;
+import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.process.LeaseElection;
+import org.monsoonvalve.core.process.Node;
+import org.monsoonvalve.core.version.Inventory;
+
+/**
+ * Obtains cold-start slots from the issuer of the endpoint's availability zone, which is
+ * this process while it holds the zone's lease.
+ *
+ * @author monsoonvalve maintainers
+ */
+public final class Slots {
+
+	private static final long ISSUER_TIMEOUT_MILLIS = 700;
+
+	private static final long ELECTION_PERIOD_MILLIS = 1000;
+
+	private static final byte[] ISSUING = "issuing".getBytes(StandardCharsets.UTF_8);
+
+	private static final byte[] CLEAN = "clean".getBytes(StandardCharsets.UTF_8);
+
+	private final Node node;
+
+	private final SlotIssuer issuer;
+
+	private final LeaseElection election;
+
+	private final String markerKey;
+
+	private final AtomicReference<Boolean> takenOver = new AtomicReference<>();
+
+	private final AtomicBoolean resigned = new AtomicBoolean();
+
+	private Slots(Node node) {
+		this.node = node;
+		this.issuer = SlotIssuer.of(node.clock());
+		this.election = LeaseElection.of(node.platform(), node.clock(), "slots/" + node.settings().zone(),
+				node.settings().id());
+		this.markerKey = "monsoonvalve/slot-terms/" + node.settings().zone();
+	}
+
+	/**
+	 * Starts obtaining, and if elected issuing, slots.
+	 * @param node this process
+	 * @return the slots
+	 */
+	public static Slots start(Node node) {
+		Slots slots = new Slots(node);
+		node.onFrame(slots::received);
+		node.every("slot-election", ELECTION_PERIOD_MILLIS, slots::elect);
+		return slots;
+	}
+
+	/**
+	 * Asks for a slot.
+	 * @param vm the cold endpoint's VM
+	 * @param status what the endpoint said of itself
+	 * @param capacity how many requests a cold endpoint can bear at once
+	 * @return the slot, empty if none is to be had
+	 */
+	public CompletableFuture<Optional<Slot>> obtain(Inventory.Vm vm, EndpointStatus status, int capacity) {
+		PeerFrame.SlotRequest request = new PeerFrame.SlotRequest(this.node.settings().id().value(), vm.id(),
+				status.bootId(), status.uptimeMillis(), capacity);
+		boolean ownZone = vm.availabilityZone().equals(this.node.settings().zone());
+		if (ownZone && issuing()) {
+			Optional<String> issued = this.issuer.issue(request, term());
+			return CompletableFuture.completedFuture(issued.map((id) -> new Slot(id, () -> this.issuer.release(id))));
+		}
+		Optional<Address> holder = this.node.membership().slotIssuer(vm.availabilityZone());
+		if (holder.isEmpty()) {
+			return CompletableFuture.completedFuture(Optional.empty());
+		}
+		return this.node.peers()
+			.ask(holder.get(), request, ISSUER_TIMEOUT_MILLIS)
+			.handle((answer, failure) -> remoteSlot(holder.get(), answer));
+	}
+
+	/**
+	 * Gives up issuing, so that another process can take over at once.
+	 * @return completed when it was given up
+	 */
+	public CompletableFuture<Void> resign() {
+		boolean clean = issuing() && this.issuer.outstanding() == 0;
+		this.resigned.set(true);
+		this.takenOver.set(null);
+		this.node.issuesSlots(false);
+		return (clean ? markClean() : CompletableFuture.<Void>completedFuture(null)).thenRun(this.election::resign);
+	}
+
+	private Optional<Slot> remoteSlot(Address holder, PeerFrame answer) {
+		if (answer instanceof PeerFrame.SlotReply reply && !reply.slotId().isEmpty()) {
+			PeerFrame release = new PeerFrame.SlotRelease(reply.slotId());
+			return Optional
+				.of(new Slot(reply.slotId(), () -> this.node.peers().ask(holder, release, ISSUER_TIMEOUT_MILLIS)));
+		}
+		return Optional.empty();
+	}
+
+	private CompletableFuture<PeerFrame> received(PeerFrame frame) {
+		if (frame instanceof PeerFrame.SlotRequest request) {
+			Optional<String> issued = this.election.held() ? this.issuer.issue(request, term()) : Optional.empty();
+			return CompletableFuture.completedFuture(new PeerFrame.SlotReply(issued.orElse("")));
+		}
+		if (frame instanceof PeerFrame.SlotRelease release) {
+			this.issuer.release(release.slotId());
+		}
+		return CompletableFuture.completedFuture(new PeerFrame.Done());
+	}
+
+	private void elect() {
+		if (this.resigned.get()) {
+			return;
+		}
+		this.election.tick();
+		if (!this.election.held()) {
+			this.takenOver.set(null);
+			this.issuer.clear();
+		}
+		else if (this.takenOver.get() == null) {
+			takeOver();
+		}
+		this.node.issuesSlots(issuing());
+	}
+
+	private boolean issuing() {
+		return this.takenOver.get() != null && this.election.held();
+	}
+
+	private SlotIssuer.Term term() {
+		return new SlotIssuer.Term(this.election.heldMillis(), Boolean.TRUE.equals(this.takenOver.get()));
+	}
+
+	private void takeOver() {
+		this.node.platform().read(this.markerKey, 0).thenCompose((snapshot) -> {
+			Optional<PlatformStore.Entry> marker = snapshot.entries().stream().findFirst();
+			boolean clean = marker.isEmpty() || Arrays.equals(marker.get().value(), CLEAN);
+			long revision = marker.map(PlatformStore.Entry::revision).orElse(0L);
+			return this.node.platform().write(this.markerKey, revision, ISSUING, 0).thenAccept((written) -> {
+				if (written.succeeded()) {
+					this.takenOver.set(clean);
+				}
+			});
+		}).exceptionally((failure) -> null);
+	}
+
+	private CompletableFuture<Void> markClean() {
+		return this.node.platform().read(this.markerKey, 0).thenCompose((snapshot) -> {
+			long revision = snapshot.entries().stream().findFirst().map(PlatformStore.Entry::revision).orElse(0L);
+			return this.node.platform().write(this.markerKey, revision, CLEAN, 0);
+		}).handle((written, failure) -> null);
+	}
+
+	/**
+	 * The right to send one request to a cold endpoint.
+	 *
+	 * @param id the slot's identifier
+	 * @param release gives the slot back
+	 */
+	public record Slot(String id, Runnable release) {
+
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/ServiceCall.java
@@ -0,0 +1,234 @@
+package org.monsoonvalve.entry.request;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
+import org.apache.commons.codec.digest.DigestUtils;
+import org.monsoonvalve.core.connection.Headers;
+import org.monsoonvalve.core.connection.HttpCall;
+import org.monsoonvalve.core.connection.HttpReply;
+import org.monsoonvalve.core.connection.IncomingCall;
+import org.monsoonvalve.core.connection.ReplyListener;
+import org.monsoonvalve.core.process.EventLog;
+import org.monsoonvalve.core.process.LogEvent;
+import org.monsoonvalve.core.process.Mechanism;
+import org.monsoonvalve.core.request.FailureCode;
+import org.monsoonvalve.core.request.RunState;
+import org.monsoonvalve.core.request.ServingException;
+
+/**
+ * One request to a plain service. A request that may not be repeated is sent once; from
+ * then on its answer is the endpoint's or says that the outcome is unknown.
+ *
+ * @author monsoonvalve maintainers
+ */
+public final class ServiceCall {
+
+	private static final Set<String> IDEMPOTENT_METHODS = Set.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE");
+
+	private static final Set<String> HOP_HEADERS = Set.of("connection", "host", "content-length", "transfer-encoding",
+			"keep-alive", "te", "trailer", "upgrade", "expect", "authorization", "proxy-authorization", "date",
+			"server");
+
+	private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+	private final EventLog log = EventLog.of(ServiceCall.class);
+
+	private final RequestEnvironment environment;
+
+	private final RequestContext context;
+
+	private final Claims claims;
+
+	private final IncomingCall call;
+
+	private final HttpCall upstream;
+
+	private final boolean repeatable;
+
+	private Optional<Claims.Claim> claim = Optional.empty();
+
+	private ServiceCall(RequestEnvironment environment, RequestContext context, Claims claims, IncomingCall call,
+			String path) {
+		this.environment = environment;
+		this.context = context;
+		this.claims = claims;
+		this.call = call;
+		boolean listed = environment.node()
+			.configuration()
+			.rules()
+			.nonRepeatable()
+			.stream()
+			.anyMatch((rule) -> rule.matches(context.pool().id(), call.method(), path));
+		this.repeatable = !listed && IDEMPOTENT_METHODS.contains(call.method().toUpperCase(Locale.ROOT));
+		String target = path + call.target().substring(call.path().length());
+		this.upstream = new HttpCall(call.method(), target, forwarded(call.headers()), call.body())
+			.withHeader("X-Request-Id", context.id())
+			.withHeader("X-Workspace", context.workspace().id());
+	}
+
+	/**
+	 * Begins to serve a request.
+	 * @param environment what all requests share
+	 * @param context the request's context
+	 * @param claims claims idempotency keys
+	 * @param call the caller's request
+	 * @param path the path behind the pool's name
+	 */
+	public static void start(RequestEnvironment environment, RequestContext context, Claims claims, IncomingCall call,
+			String path) {
+		ServiceCall served = new ServiceCall(environment, context, claims, call, path);
+		environment.budget(context.pool()).deposit();
+		context.admit().whenComplete((admitted, failure) -> {
+			if (failure != null) {
+				served.answerFailure(ServingException.from(failure));
+			}
+			else {
+				served.claimKey();
+			}
+		});
+	}
+
+	private void claimKey() {
+		Optional<String> key = this.call.headers().get("Idempotency-Key");
+		if (key.isEmpty() || this.repeatable || !Mechanism.CLAIMS.on()) {
+			dispatch();
+			return;
+		}
+		String fingerprint = DigestUtils.sha256Hex(this.upstream.method() + " " + this.upstream.target() + "\n"
+				+ DigestUtils.sha256Hex(this.upstream.body()));
+		this.claims.claim(this.context.workspace().id() + "/" + this.context.pool().id(), key.get(), fingerprint)
+			.whenComplete((made, failure) -> {
+				if (failure != null) {
+					end(ServingException.from(failure));
+				}
+				else if (made.outcome().isPresent()) {
+					answer(made.outcome().get());
+				}
+				else {
+					this.claim = Optional.of(made);
+					dispatch();
+				}
+			});
+	}
+
+	private void dispatch() {
+		this.context.findTarget().whenComplete((prepared, failure) -> {
+			if (failure != null) {
+				end(ServingException.from(failure));
+				return;
+			}
+			try {
+				prepared.send(this.upstream, this.environment.limits().serviceMillis(), new Answer(prepared));
+			}
+			catch (ServingException ex) {
+				prepared.fail();
+				dispatch();
+			}
+		});
+	}
+
+	private void lost(ServingException failure) {
+		boolean mayRepeat = this.repeatable || !Mechanism.AT_MOST_ONCE.on();
+		if (mayRepeat && this.environment.budget(this.context.pool()).withdraw()) {
+			dispatch();
+			return;
+		}
+		this.log.emit(LogEvent.REQUEST_LOST, this.context.id(), this.context.pool().id(), failure.getMessage());
+		end(failure);
+	}
+
+	private void end(ServingException failure) {
+		if (this.claim.isPresent() && failure.code().run() == RunState.NOT_RUN) {
+			this.claims.abandon(this.claim.get()).thenRun(() -> endAnswered(failure));
+		}
+		else {
+			endAnswered(failure);
+		}
+	}
+
+	private void endAnswered(ServingException failure) {
+		this.context.release();
+		answerFailure(failure);
+	}
+
+	private void answerFailure(ServingException failure) {
+		record(failure.code());
+		this.call.refuse(failure);
+	}
+
+	private void answer(HttpReply reply) {
+		record(null);
+		this.context.release();
+		this.call.reply(reply.status(), forwarded(reply.headers()), reply.body());
+	}
+
+	private void record(FailureCode failure) {
+		this.environment.slo().ended(this.context.workspace().id(), this.context.pool().id(), failure);
+	}
+
+	private static Headers forwarded(Headers headers) {
+		return new Headers(headers.fields()
+			.stream()
+			.filter((field) -> !HOP_HEADERS.contains(field.name().toLowerCase(Locale.ROOT)))
+			.toList());
+	}
+
+	private final class Answer implements ReplyListener {
+
+		private final Prepared prepared;
+
+		private final java.io.ByteArrayOutputStream body = new java.io.ByteArrayOutputStream();
+
+		private int status;
+
+		private Headers headers = Headers.empty();
+
+		private Answer(Prepared prepared) {
+			this.prepared = prepared;
+		}
+
+		@Override
+		public void onHeaders(int status, Headers headers) {
+			this.status = status;
+			this.headers = headers;
+		}
+
+		@Override
+		public void onBody(byte[] chunk) {
+			if (this.body.size() + chunk.length > MAX_ANSWER_BYTES) {
+				this.prepared.fail();
+				return;
+			}
+			this.body.writeBytes(chunk);
+		}
+
+		@Override
+		public void onComplete() {
+			this.prepared.succeed();
+			HttpReply reply = new HttpReply(this.status, this.headers, this.body.toByteArray());
+			ServiceCall owner = ServiceCall.this;
+			if (owner.claim.isPresent()) {
+				owner.claims.keepOutcome(owner.claim.get(), reply).thenRun(() -> answer(reply));
+			}
+			else {
+				answer(reply);
+			}
+		}
+
+		@Override
+		public void onFailure(ServingException failure) {
+			this.prepared.fail();
+			this.prepared.endpoint().failed();
+			this.prepared.endpoint().closeIdle();
+			boolean tooLarge = this.body.size() > 0 && failure.code() == FailureCode.ENDPOINT_LOST;
+			lost(tooLarge
+					? new ServingException(FailureCode.ENDPOINT_LOST,
+							"the endpoint's answer broke off or was larger than " + MAX_ANSWER_BYTES + " bytes")
+					: failure);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/version/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * State of the stand-in platform.
+ */
+package org.monsoonvalve.standins.version;
