--- /dev/null
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/version/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Scenario scripts and the checkers that run after each of them.
+ */
+package org.monsoonvalve.scenarios.version;
--- a/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/EndpointState.java
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/EndpointState.java
@@ -1,5 +1,6 @@
 package org.monsoonvalve.standins.process;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Queue;
 import java.util.Set;
@@ -11,6 +12,7 @@
 
 import org.monsoonvalve.core.connection.Headers;
 import org.monsoonvalve.core.connection.IncomingCall;
+import org.monsoonvalve.core.process.Codec;
 import org.monsoonvalve.core.process.Settings;
 import org.monsoonvalve.standins.process.Faults.FaultKind;
 import org.monsoonvalve.standins.request.LedgerEntry;
@@ -39,6 +41,8 @@
 
 	private final AtomicInteger running = new AtomicInteger();
 
+	private final AtomicInteger coldRunning = new AtomicInteger();
+
 	private final AtomicInteger served = new AtomicInteger();
 
 	private volatile String bootId = UUID.randomUUID().toString();
@@ -123,38 +127,50 @@
 	/**
 	 * Begins an execution.
 	 * @param call the request
+	 * @param clientId what the caller named the request
 	 * @param group the replica group, empty for plain services
 	 * @param fence the fencing number in force
 	 * @param complete whether all members of the group are heard
-	 * @return {@code false} if the endpoint collapsed under it
+	 * @return the execution, whose incarnation has ended if the endpoint collapsed under
+	 * it
 	 */
-	boolean begin(IncomingCall call, String group, long fence, boolean complete) {
-		boolean cold = !warm();
-		int concurrent = this.running.incrementAndGet();
-		record(LedgerEntry.RUN, call, cold, concurrent, group, fence, complete);
-		if (cold && concurrent > this.settings.get(StandinSettings.COLD_CAPACITY)) {
-			record(LedgerEntry.COLLAPSE, call, true, concurrent, group, fence, complete);
+	Execution begin(IncomingCall call, String clientId, String group, long fence, boolean complete) {
+		Execution execution = new Execution(this.bootId, !warm());
+		this.running.incrementAndGet();
+		int concurrent = execution.cold() ? this.coldRunning.incrementAndGet() : this.running.get();
+		record(LedgerEntry.RUN, call, clientId, execution.cold(), concurrent, group, fence, complete);
+		if (execution.cold() && concurrent > this.settings.get(StandinSettings.COLD_CAPACITY)) {
+			record(LedgerEntry.COLLAPSE, call, clientId, true, concurrent, group, fence, complete);
 			collapse();
-			return false;
 		}
-		return true;
+		return execution;
 	}
 
-	void end(String begunUnder, boolean whole) {
-		if (this.bootId.equals(begunUnder)) {
-			this.running.decrementAndGet();
-			if (whole) {
-				this.served.incrementAndGet();
-			}
+	boolean alive(Execution execution) {
+		return this.bootId.equals(execution.bootId());
+	}
+
+	void end(Execution execution, boolean whole) {
+		if (!alive(execution)) {
+			return;
+		}
+		this.running.decrementAndGet();
+		if (execution.cold()) {
+			this.coldRunning.decrementAndGet();
+		}
+		if (whole) {
+			this.served.incrementAndGet();
 		}
 	}
 
-	void record(String kind, IncomingCall call, boolean cold, int concurrent, String group, long fence,
+	void record(String kind, IncomingCall call, String clientId, boolean cold, int concurrent, String group, long fence,
 			boolean complete) {
-		this.ledger.add(new LedgerEntry(System.currentTimeMillis(), kind, call.headers().get("X-Request-Id").orElse(""),
-				call.headers().get("Idempotency-Key").orElse(""), this.settings.get(StandinSettings.VM),
-				this.settings.get(StandinSettings.ZONE), this.bootId, cold, concurrent, group, fence, complete,
-				call.method() + " " + call.target()));
+		LedgerEntry entry = new LedgerEntry(System.currentTimeMillis(), kind,
+				call.headers().get("X-Request-Id").orElse(""), call.headers().get("Idempotency-Key").orElse(""),
+				clientId, this.settings.get(StandinSettings.VM), this.settings.get(StandinSettings.ZONE), this.bootId,
+				cold, concurrent, group, fence, complete, call.method() + " " + call.target());
+		this.ledger.add(entry);
+		System.out.println(LedgerEntry.LINE_PREFIX + new String(Codec.JSON.encode(entry), StandardCharsets.UTF_8));
 	}
 
 	private void collapse() {
@@ -162,7 +178,18 @@
 		this.bootNanos = System.nanoTime();
 		this.downUntilNanos = this.bootNanos + TimeUnit.MILLISECONDS.toNanos(COLLAPSED_MILLIS);
 		this.running.set(0);
+		this.coldRunning.set(0);
 		this.served.set(0);
 	}
 
+	/**
+	 * A request in execution.
+	 *
+	 * @param bootId the incarnation that began it
+	 * @param cold whether it began while the endpoint was cold
+	 */
+	record Execution(String bootId, boolean cold) {
+
+	}
+
 }
--- a/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/EngineStandin.java
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/EngineStandin.java
@@ -153,7 +153,7 @@
 		if (EngineOrder.UNLOAD.equals(order.order())) {
 			this.job.set(new Job("", order.fence(), "", List.of(), 0));
 			this.state.goCold();
-			this.state.record(LedgerEntry.UNLOAD, call, true, 0, before.group(), order.fence(), false);
+			this.state.record(LedgerEntry.UNLOAD, call, "", true, 0, before.group(), order.fence(), false);
 		}
 		else if (!before.group().equals(order.group()) || before.fence() != order.fence()) {
 			long readyNanos = System.nanoTime()
@@ -161,7 +161,7 @@
 			this.heardNanos.clear();
 			this.job.set(new Job(order.group(), order.fence(), order.model(), order.members(), readyNanos));
 			this.state.goCold();
-			this.state.record(LedgerEntry.LOAD, call, true, 0, order.group(), order.fence(), false);
+			this.state.record(LedgerEntry.LOAD, call, "", true, 0, order.group(), order.fence(), false);
 		}
 		call.replyJson(OK, status());
 	}
@@ -169,22 +169,19 @@
 	private void run(IncomingCall call) {
 		Job now = this.job.get();
 		boolean complete = complete(now);
-		if (!this.state.begin(call, now.group(), now.fence(), complete)) {
-			EndpointState.reset(call);
-			return;
-		}
-		String begunUnder = this.state.bootId();
+		JsonNode request = Codec.JSON.tree(call.body());
+		EndpointState.Execution execution = this.state.begin(call, request.path("user").asText(""), now.group(),
+				now.fence(), complete);
 		if (!now.loaded()) {
-			this.state.end(begunUnder, false);
+			this.state.end(execution, false);
 			call.reply(UNAVAILABLE, Headers.empty(), new byte[0]);
 			return;
 		}
-		JsonNode request = Codec.JSON.tree(call.body());
 		long resumeAfter = call.headers().get("Last-Event-ID").map(Long::parseLong).orElse(-1L);
 		TokenStream stream = TokenStream.of(request, now.model(), call.headers().get("X-Request-Id").orElse(""));
 		boolean breaking = this.state.faults().take(FaultKind.BREAK_STREAMS);
 		call.begin(OK, Headers.of("Content-Type", "text/event-stream"));
-		Generation generation = new Generation(call, stream, now, begunUnder, resumeAfter + 1, breaking);
+		Generation generation = new Generation(call, stream, now, execution, resumeAfter + 1, breaking);
 		call.onAbandoned(generation::stop);
 		this.timer.schedule(generation::step, prefillMillis(request), TimeUnit.MILLISECONDS);
 	}
@@ -215,7 +212,7 @@
 
 		private final Job begunJob;
 
-		private final String begunUnder;
+		private final EndpointState.Execution execution;
 
 		private final boolean breaking;
 
@@ -223,12 +220,12 @@
 
 		private boolean stopped;
 
-		private Generation(IncomingCall call, TokenStream stream, Job begunJob, String begunUnder, long next,
-				boolean breaking) {
+		private Generation(IncomingCall call, TokenStream stream, Job begunJob, EndpointState.Execution execution,
+				long next, boolean breaking) {
 			this.call = call;
 			this.stream = stream;
 			this.begunJob = begunJob;
-			this.begunUnder = begunUnder;
+			this.execution = execution;
 			this.next = next;
 			this.breaking = breaking;
 		}
@@ -236,7 +233,7 @@
 		private synchronized void stop() {
 			if (!this.stopped) {
 				this.stopped = true;
-				EngineStandin.this.state.end(this.begunUnder, false);
+				EngineStandin.this.state.end(this.execution, false);
 			}
 		}
 
@@ -245,7 +242,7 @@
 			if (this.stopped) {
 				return;
 			}
-			boolean alive = state.bootId().equals(this.begunUnder) && EngineStandin.this.job.get().equals(this.begunJob)
+			boolean alive = state.alive(this.execution) && EngineStandin.this.job.get().equals(this.begunJob)
 					&& complete(this.begunJob);
 			if (!alive) {
 				stop();
@@ -267,7 +264,7 @@
 			this.next++;
 			if (this.next > this.stream.length()) {
 				this.stopped = true;
-				state.end(this.begunUnder, true);
+				state.end(this.execution, true);
 				this.call.write("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
 				this.call.finish();
 				return;
--- a/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/ServiceStandin.java
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/ServiceStandin.java
@@ -59,19 +59,17 @@
 			EndpointState.reset(call);
 			return;
 		}
-		if (!this.state.begin(call, "", 0, true)) {
-			EndpointState.reset(call);
-			return;
-		}
-		String begunUnder = this.state.bootId();
+		EndpointState.Execution execution = this.state.begin(call, call.headers().get("X-Client-Id").orElse(""), "", 0,
+				true);
 		long millis = this.state.settings().get(StandinSettings.SERVICE_MILLIS)
 				+ this.state.faults().get(FaultKind.DELAY_MILLIS);
-		this.timer.schedule(() -> finish(call, begunUnder), millis, TimeUnit.MILLISECONDS);
+		this.timer.schedule(() -> finish(call, execution), millis, TimeUnit.MILLISECONDS);
 	}
 
-	private void finish(IncomingCall call, String begunUnder) {
-		this.state.end(begunUnder, true);
-		if (!begunUnder.equals(this.state.bootId()) || this.state.faults().take(FaultKind.RESET_AFTER)) {
+	private void finish(IncomingCall call, EndpointState.Execution execution) {
+		boolean alive = this.state.alive(execution);
+		this.state.end(execution, true);
+		if (!alive || this.state.faults().take(FaultKind.RESET_AFTER)) {
 			EndpointState.reset(call);
 			return;
 		}
@@ -83,7 +81,7 @@
 		answer.put("path", call.target());
 		answer.put("requestId", call.headers().get("X-Request-Id").orElse(""));
 		answer.put("vm", this.state.settings().get(StandinSettings.VM));
-		answer.put("echo", call.headers().get("X-Echo").orElse(""));
+		answer.put("clientId", call.headers().get("X-Client-Id").orElse(""));
 		if (booking) {
 			answer.put("booking", this.bookings.incrementAndGet());
 		}
--- a/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/request/LedgerEntry.java
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/request/LedgerEntry.java
@@ -9,18 +9,24 @@
  * {@code unload}
  * @param requestId the request's identifier
  * @param idempotencyKey the caller's idempotency key, empty without one
+ * @param clientId what the caller named the request, empty without a name
  * @param vm the VM
  * @param zone its availability zone
  * @param bootId the endpoint's incarnation
  * @param cold whether the endpoint was cold
- * @param concurrent how many requests ran, this one included
+ * @param concurrent how many requests ran, this one included; for a cold endpoint those
+ * begun while it was cold
  * @param group the replica group, empty for plain services
  * @param fence the fencing number in force
  * @param complete whether the endpoint heard all members of its group
  * @param path the request's method and path
  */
-public record LedgerEntry(long timeMillis, String kind, String requestId, String idempotencyKey, String vm, String zone,
-		String bootId, boolean cold, int concurrent, String group, long fence, boolean complete, String path) {
+public record LedgerEntry(long timeMillis, String kind, String requestId, String idempotencyKey, String clientId,
+		String vm, String zone, String bootId, boolean cold, int concurrent, String group, long fence, boolean complete,
+		String path) {
+
+	/** What an entry's line on standard output begins with. */
+	public static final String LINE_PREFIX = "LEDGER ";
 
 	/** A request that ran. */
 	public static final String RUN = "run";
