Unit tests, reserved cold-start slots, free resumes for streams that progressed, plain services spread

Cause: with the mechanism 'leaving' off, its script still passed: every call of a plain service had the same affinity, so one endpoint of a zone took all of them. With connections silenced, 15 of 120 streams were cut: they broke together and the retry budget held ten.

Ruled out: a larger budget (a failing endpoint would see more load for every request).

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
@@ -40,7 +40,11 @@
 
 	private final long connectTimeoutMillis;
 
-	private HttpClient(TCPNIOTransport transport, ScheduledExecutorService timer, long connectTimeoutMillis) {
+	private final Traffic traffic;
+
+	private HttpClient(TCPNIOTransport transport, ScheduledExecutorService timer, long connectTimeoutMillis,
+			Traffic traffic) {
+		this.traffic = traffic;
 		this.transport = transport;
 		this.timer = timer;
 		this.connectTimeoutMillis = connectTimeoutMillis;
@@ -70,13 +74,15 @@
 			.setTcpNoDelay(true)
 			.build();
 		transport.setConnectionTimeout((int) connectTimeoutMillis);
+		Traffic traffic = Traffic.counter();
+		transport.getConnectionMonitoringConfig().addProbes(traffic);
 		try {
 			transport.start();
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
-		return new HttpClient(transport, timer, connectTimeoutMillis);
+		return new HttpClient(transport, timer, connectTimeoutMillis, traffic);
 	}
 
 	/**
@@ -127,6 +133,14 @@
 			.whenComplete((reply, failure) -> connection.close()));
 	}
 
+	/**
+	 * Returns the counter of bytes.
+	 * @return the traffic of all connections
+	 */
+	public Traffic traffic() {
+		return this.traffic;
+	}
+
 	/**
 	 * Returns the timer that drives timeouts.
 	 * @return the timer
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
@@ -69,6 +69,15 @@
 	record SlotRequest(String requester, String vm, String bootId, long uptimeMillis,
 			int capacity) implements PeerFrame {
 
+		/**
+		 * Changes the capacity.
+		 * @param other the other capacity
+		 * @return the changed request
+		 */
+		public SlotRequest withCapacity(int other) {
+			return new SlotRequest(this.requester, this.vm, this.bootId, this.uptimeMillis, other);
+		}
+
 	}
 
 	/**
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
@@ -51,9 +51,7 @@
 
 	private final AtomicLong correlation = new AtomicLong();
 
-	private final LongAdder bytesOut = new LongAdder();
-
-	private final LongAdder bytesIn = new LongAdder();
+	private final Traffic traffic = Traffic.counter();
 
 	private final LongAdder framesOut = new LongAdder();
 
@@ -65,6 +63,7 @@
 			.setTcpNoDelay(true)
 			.setReuseAddress(true)
 			.build();
+		this.transport.getConnectionMonitoringConfig().addProbes(this.traffic);
 	}
 
 	/**
@@ -111,19 +110,11 @@
 	}
 
 	/**
-	 * Returns how many bytes were sent.
-	 * @return the bytes since the start
-	 */
-	public long bytesOut() {
-		return this.bytesOut.sum();
-	}
-
-	/**
-	 * Returns how many bytes were received.
-	 * @return the bytes since the start
+	 * Returns the counter of bytes.
+	 * @return the traffic with peers
 	 */
-	public long bytesIn() {
-		return this.bytesIn.sum();
+	public Traffic traffic() {
+		return this.traffic;
 	}
 
 	/**
@@ -195,7 +186,6 @@
 		byte[] content = Codec.MESSAGE_PACK.encode(envelope);
 		Buffer buffer = MemoryManager.DEFAULT_MEMORY_MANAGER.allocate(LENGTH_BYTES + content.length);
 		buffer.putInt(content.length).put(content).flip();
-		this.bytesOut.add(LENGTH_BYTES + content.length);
 		this.framesOut.increment();
 		connection.write(buffer);
 	}
@@ -244,7 +234,6 @@
 				byte[] content = new byte[length];
 				buffer.getInt();
 				buffer.get(content);
-				PeerTransport.this.bytesIn.add(LENGTH_BYTES + length);
 				received(context.getConnection(), Codec.MESSAGE_PACK.decode(content, Envelope.class));
 			}
 			return buffer.hasRemaining() ? context.getStopAction(buffer) : context.getStopAction();
--- /dev/null
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/Traffic.java
@@ -0,0 +1,59 @@
+package org.monsoonvalve.core.connection;
+
+import java.util.concurrent.atomic.LongAdder;
+
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.ConnectionProbe;
+
+/**
+ * Counts the bytes that a transport's connections carry.
+ *
+ * @author monsoonvalve maintainers
+ */
+public final class Traffic extends ConnectionProbe.Adapter {
+
+	private final LongAdder bytesIn = new LongAdder();
+
+	private final LongAdder bytesOut = new LongAdder();
+
+	private Traffic() {
+	}
+
+	/**
+	 * Creates a counter at zero.
+	 * @return the counter
+	 */
+	public static Traffic counter() {
+		return new Traffic();
+	}
+
+	@Override
+	@SuppressWarnings("rawtypes")
+	public void onReadEvent(Connection connection, Buffer data, int size) {
+		this.bytesIn.add(Math.max(0, size));
+	}
+
+	@Override
+	@SuppressWarnings("rawtypes")
+	public void onWriteEvent(Connection connection, Buffer data, long size) {
+		this.bytesOut.add(Math.max(0, size));
+	}
+
+	/**
+	 * Returns how many bytes were received.
+	 * @return the bytes since the start
+	 */
+	public long bytesIn() {
+		return this.bytesIn.sum();
+	}
+
+	/**
+	 * Returns how many bytes were sent.
+	 * @return the bytes since the start
+	 */
+	public long bytesOut() {
+		return this.bytesOut.sum();
+	}
+
+}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/Configuration.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/Configuration.java
@@ -75,6 +75,19 @@
 		return !this.rules.zonesOut().contains(vm.availabilityZone()) && !this.rules.endpointsOut().contains(vm.id());
 	}
 
+	/**
+	 * Finds the entry for which cold-start slots are reserved.
+	 * @param zone the availability zone
+	 * @return the entry's name, if operators named one
+	 */
+	public Optional<String> coldReserve(String zone) {
+		return this.inventory.availabilityZones()
+			.stream()
+			.filter((known) -> known.id().equals(zone))
+			.findFirst()
+			.map(Inventory.Zone::coldReserve);
+	}
+
 	/**
 	 * Finds the pool that carries a model.
 	 * @param model the model's name, or the pool's
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/Inventory.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/Inventory.java
@@ -43,8 +43,20 @@
 	 *
 	 * @param id its name
 	 * @param region the region that it belongs to
+	 * @param coldReserve the entry for which one cold-start slot of each endpoint is
+	 * reserved, so that endpoints warm up while the platform is down; none if not given
 	 */
-	public record Zone(String id, String region) {
+	public record Zone(String id, String region, String coldReserve) {
+
+		/**
+		 * Creates an availability zone without a reserved cold-start slot.
+		 * @param id its name
+		 * @param region the region that it belongs to
+		 * @return the availability zone
+		 */
+		public static Zone of(String id, String region) {
+			return new Zone(id, region, null);
+		}
 
 	}
 
--- /dev/null
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/AddressTests.java
@@ -0,0 +1,27 @@
+package org.monsoonvalve.core.connection;
+
+import org.monsoonvalve.core.request.ServingException;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class AddressTests {
+
+	@DataProvider
+	public Object[][] bad() {
+		return new Object[][] { { "" }, { "10.0.0.1" }, { ":80" }, { "10.0.0.1:" }, { "10.0.0.1:65536" },
+				{ "host.example:80" }, { "10.0.0.1:x" } };
+	}
+
+	@Test(dataProvider = "bad")
+	public void refusesWhatIsNotAnIpNumberAndAPort(String text) {
+		Assert.assertThrows(ServingException.class, () -> Address.of(text));
+	}
+
+	@Test
+	public void survivesPrinting() {
+		Assert.assertEquals(Address.of("10.0.0.1:8080"), new Address("10.0.0.1", 8080));
+		Assert.assertEquals(Address.of("10.0.0.1:8080").toString(), "10.0.0.1:8080");
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/ElapsedClockTests.java
@@ -0,0 +1,33 @@
+package org.monsoonvalve.core.process;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+public class ElapsedClockTests {
+
+	private final SteppingClock wall = new SteppingClock();
+
+	private final ElapsedClock clock = ElapsedClock.of(this.wall);
+
+	@Test
+	public void measuresTheTimeThatPassed() {
+		ElapsedClock.Reading start = this.clock.now();
+		this.wall.advance(1500);
+		Assert.assertEquals(this.clock.elapsedMillis(start), 1500);
+	}
+
+	@Test
+	public void isNotNegativeWhenTheWallClockIsSetBack() {
+		ElapsedClock.Reading start = this.clock.now();
+		this.wall.advance(-5000);
+		Assert.assertEquals(this.clock.elapsedMillis(start), 0);
+	}
+
+	@Test
+	public void takesTheLargerProgressOfBothClocks() {
+		ElapsedClock.Reading now = this.clock.now();
+		ElapsedClock.Reading start = new ElapsedClock.Reading(now.wallMillis() - 10, now.monotonicMillis() - 700);
+		Assert.assertEquals(this.clock.elapsedMillis(start), 700);
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/LeavingVmsTests.java
@@ -0,0 +1,34 @@
+package org.monsoonvalve.core.process;
+
+import org.monsoonvalve.core.connection.PeerFrame;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+public class LeavingVmsTests {
+
+	private final SteppingClock wall = new SteppingClock();
+
+	private final LeavingVms leaving = LeavingVms.of(ElapsedClock.of(this.wall));
+
+	@Test
+	public void remembersAndPassesOnRecentSightings() {
+		this.leaving.learn(new PeerFrame.LeavingVm("vm-1", 100));
+		Assert.assertTrue(this.leaving.contains("vm-1"));
+		Assert.assertTrue(this.leaving.recent().stream().anyMatch((sighting) -> sighting.vm().equals("vm-1")));
+	}
+
+	@Test
+	public void forgetsWhatTheListNoLongerNames() {
+		this.leaving.learn(new PeerFrame.LeavingVm("vm-2", 0));
+		this.wall.advance(20_001);
+		Assert.assertFalse(this.leaving.contains("vm-2"));
+	}
+
+	@Test
+	public void aSightingDoesNotGrowYoungerByBeingPassedOn() {
+		this.leaving.learn(new PeerFrame.LeavingVm("vm-3", 15_000));
+		this.wall.advance(6000);
+		Assert.assertFalse(this.leaving.contains("vm-3"));
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/LogEventTests.java
@@ -0,0 +1,36 @@
+package org.monsoonvalve.core.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+public class LogEventTests {
+
+	@Test
+	public void theCatalogueInTheDocsIsInStep() throws IOException {
+		List<String> documented = Files
+			.readAllLines(Path.of(System.getProperty("monsoonvalve.root"), "docs", "events.md"))
+			.stream()
+			.filter((line) -> line.startsWith("| MV"))
+			.map((line) -> line.replaceAll(" *\\| *", "|"))
+			.map((line) -> line.substring(0, line.lastIndexOf('|', line.length() - 2) + 1))
+			.toList();
+		List<String> expected = Arrays.stream(LogEvent.values())
+			.map((event) -> "|MV%04d|%s|%s|`%s`|".formatted(event.number(), event.name(), event.level(),
+					event.template()))
+			.toList();
+		Assert.assertEquals(documented, expected);
+	}
+
+	@Test
+	public void numbersAreUnique() {
+		Assert.assertEquals(Arrays.stream(LogEvent.values()).map(LogEvent::number).distinct().count(),
+				LogEvent.values().length);
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/MembershipTests.java
@@ -0,0 +1,59 @@
+package org.monsoonvalve.core.process;
+
+import java.util.List;
+
+import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.Member;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+public class MembershipTests {
+
+	private static final Address ADDRESS = Address.of("127.0.0.1:1");
+
+	private final SteppingClock wall = new SteppingClock();
+
+	private final Membership membership = Membership.of(NodeId.of("self"), ElapsedClock.of(this.wall));
+
+	private static Member member(String id, long started, long heartbeat, boolean issuer) {
+		return new Member(id, "a", "entry", ADDRESS, ADDRESS, started, heartbeat, 0, 0, false, issuer);
+	}
+
+	@Test
+	public void forgetsMembersWhoseHeartbeatStopped() {
+		this.membership.learn(List.of(member("m1", 1, 1, false)));
+		this.wall.advance(10_001);
+		this.membership.learn(List.of(member("m1", 1, 1, false)));
+		Assert.assertTrue(this.membership.live().stream().noneMatch((member) -> member.id().equals("m1")));
+	}
+
+	@Test
+	public void keepsTheLatestKnowledge() {
+		this.membership.learn(List.of(member("m2", 1, 9, false), member("m2", 1, 3, false)));
+		Assert.assertEquals(heartbeat("m2"), 9);
+		this.membership.learn(List.of(member("m2", 2, 1, false)));
+		Assert.assertEquals(heartbeat("m2"), 1);
+	}
+
+	@Test
+	public void doesNotListItself() {
+		this.membership.learn(List.of(member("self", 1, 1, false)));
+		Assert.assertTrue(this.membership.live().stream().noneMatch((member) -> member.id().equals("self")));
+	}
+
+	@Test
+	public void findsTheSlotIssuerOfAZone() {
+		this.membership.learn(List.of(member("m3", 1, 1, true)));
+		Assert.assertTrue(this.membership.slotIssuer("a").isPresent());
+		Assert.assertTrue(this.membership.slotIssuer("b").isEmpty());
+	}
+
+	private long heartbeat(String id) {
+		return this.membership.live()
+			.stream()
+			.filter((member) -> member.id().equals(id))
+			.mapToLong(Member::heartbeat)
+			.sum();
+	}
+
+}
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
@@ -35,6 +35,10 @@
 
 	private final SlotIssuer issuer;
 
+	private final SlotIssuer reserveIssuer;
+
+	private final ReserveTerm reserveTerm;
+
 	private final LeaseElection election;
 
 	private final String markerKey;
@@ -46,6 +50,8 @@
 	private Slots(Node node) {
 		this.node = node;
 		this.issuer = SlotIssuer.of(node.clock());
+		this.reserveIssuer = SlotIssuer.of(node.clock());
+		this.reserveTerm = ReserveTerm.of(node.clock());
 		this.election = LeaseElection.of(node.platform(), node.clock(), "slots/" + node.settings().zone(),
 				node.settings().id());
 		this.markerKey = "monsoonvalve/slot-terms/" + node.settings().zone();
@@ -71,8 +77,15 @@
 	 * @return the slot, empty if none is to be had
 	 */
 	public CompletableFuture<Optional<Slot>> obtain(Inventory.Vm vm, EndpointStatus status, int capacity) {
+		Optional<String> reserve = this.node.configuration().coldReserve(vm.availabilityZone());
 		PeerFrame.SlotRequest request = new PeerFrame.SlotRequest(this.node.settings().id().value(), vm.id(),
-				status.bootId(), status.uptimeMillis(), capacity);
+				status.bootId(), status.uptimeMillis(), reserve.isPresent() ? capacity - 1 : capacity);
+		if (reserve.filter(this.node.settings().id().value()::equals).isPresent()) {
+			Optional<String> reserved = this.reserveIssuer.issue(request.withCapacity(1), this.reserveTerm.term());
+			if (reserved.isPresent()) {
+				return CompletableFuture.completedFuture(reserved.map(this::reservedSlot));
+			}
+		}
 		boolean ownZone = vm.availabilityZone().equals(this.node.settings().zone());
 		if (ownZone && issuing()) {
 			Optional<String> issued = this.issuer.issue(request, term());
@@ -87,6 +100,10 @@
 			.handle((answer, failure) -> remoteSlot(holder.get(), answer));
 	}
 
+	private Slot reservedSlot(String id) {
+		return new Slot(id, () -> this.reserveIssuer.release(id));
+	}
+
 	/**
 	 * Gives up issuing, so that another process can take over at once.
 	 * @return completed when it was given up
@@ -120,6 +137,12 @@
 	}
 
 	private void elect() {
+		String self = this.node.settings().id().value();
+		this.reserveTerm.update(this.node.configuration()
+			.inventory()
+			.availabilityZones()
+			.stream()
+			.anyMatch((zone) -> self.equals(zone.coldReserve())));
 		if (this.resigned.get()) {
 			return;
 		}
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/process/EntryMain.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/process/EntryMain.java
@@ -82,9 +82,11 @@
 
 	private void registerGauges(MetricRegistry metrics) {
 		metrics.register("requests.in-progress", (Gauge<Integer>) this.server::inProgress);
-		metrics.register("peers.bytes-out", (Gauge<Long>) () -> this.node.peers().bytesOut());
-		metrics.register("peers.bytes-in", (Gauge<Long>) () -> this.node.peers().bytesIn());
+		metrics.register("peers.bytes-out", (Gauge<Long>) () -> this.node.peers().traffic().bytesOut());
+		metrics.register("peers.bytes-in", (Gauge<Long>) () -> this.node.peers().traffic().bytesIn());
 		metrics.register("peers.frames-out", (Gauge<Long>) () -> this.node.peers().framesOut());
+		metrics.register("http-client.bytes-out", (Gauge<Long>) () -> this.node.http().traffic().bytesOut());
+		metrics.register("http-client.bytes-in", (Gauge<Long>) () -> this.node.http().traffic().bytesIn());
 		metrics.register("platform.reads", (Gauge<Long>) this.node::platformReads);
 		metrics.register("process.cpu-nanos", (Gauge<Long>) EntryMain::cpuNanos);
 		metrics.register("process.heap-bytes",
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/process/EntryServer.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/process/EntryServer.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.UUID;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -153,7 +154,7 @@
 		}
 		Caller.checkPool(workspace, pool);
 		track(call);
-		ServiceCall.start(this.environment, context(workspace, pool, ""), this.claims, call,
+		ServiceCall.start(this.environment, context(workspace, pool, UUID.randomUUID().toString()), this.claims, call,
 				(slash >= 0) ? rest.substring(slash) : "/");
 	}
 
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/ModelCall.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/ModelCall.java
@@ -34,6 +34,8 @@
 
 	private static final long NO_EVENT = -1;
 
+	private static final int FREE_RESUMES = 3;
+
 	private final EventLog log = EventLog.of(ModelCall.class);
 
 	private final RequestEnvironment environment;
@@ -54,6 +56,10 @@
 
 	private volatile long lastTokenMillis;
 
+	private volatile long resumedAfter = NO_EVENT;
+
+	private volatile int freeResumes = FREE_RESUMES;
+
 	private ModelCall(RequestEnvironment environment, RequestContext context, IncomingCall call, ChatRequest request) {
 		this.environment = environment;
 		this.context = context;
@@ -175,12 +181,10 @@
 	}
 
 	private void retry(ServingException failure) {
-		boolean begun = this.lastEventId != NO_EVENT;
-		boolean allowed = !begun || Mechanism.STREAM_RESUME.on();
 		if (this.ended.get()) {
 			return;
 		}
-		if (allowed && this.environment.budget(this.context.pool()).withdraw()) {
+		if (mayDispatchAgain()) {
 			dispatch();
 		}
 		else {
@@ -189,6 +193,26 @@
 		}
 	}
 
+	/**
+	 * Tells whether the request may be sent again. A stream that got further since it was
+	 * last sent may be resumed a few times without a budget; everything else has to be
+	 * paid for.
+	 * @return {@code true} if it may
+	 */
+	private boolean mayDispatchAgain() {
+		boolean begun = this.lastEventId != NO_EVENT;
+		if (begun && !Mechanism.STREAM_RESUME.on()) {
+			return false;
+		}
+		boolean progressed = this.lastEventId > this.resumedAfter;
+		this.resumedAfter = this.lastEventId;
+		if (progressed && this.freeResumes > 0) {
+			this.freeResumes = this.freeResumes - 1;
+			return true;
+		}
+		return this.environment.budget(this.context.pool()).withdraw();
+	}
+
 	private void deliver(SseEvent event) {
 		if (event.id() != NO_EVENT && event.id() <= this.lastEventId) {
 			return;
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/Cluster.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/Cluster.java
@@ -93,6 +93,8 @@
 
 	private final Timeline timeline;
 
+	private final Thread endAll = new Thread(this::endAll, "end-processes");
+
 	private Cluster(ClusterSpec spec, Path logs, Timeline timeline) {
 		this.spec = spec;
 		this.logs = logs;
@@ -109,6 +111,7 @@
 	public static Cluster start(ClusterSpec spec, Path logs, Timeline timeline) {
 		Cluster cluster = new Cluster(spec, logs, timeline);
 		try {
+			Runtime.getRuntime().addShutdownHook(cluster.endAll);
 			clear(logs);
 			cluster.startAll();
 			return cluster;
@@ -214,7 +217,11 @@
 	}
 
 	private Inventory inventory() {
-		return new Inventory(this.spec.zones().stream().map((zone) -> new Inventory.Zone(zone, "region")).toList(),
+		return new Inventory(
+				this.spec.zones()
+					.stream()
+					.map((zone) -> new Inventory.Zone(zone, "region", zone + "-entry-1"))
+					.toList(),
 				this.vms,
 				List.of(new Inventory.Pool(MODEL_POOL, PoolKind.MODEL, MODEL_POOL, "1", this.spec.vmsPerGroup(),
 						COLD_SLOTS, this.spec.maxConcurrent()),
@@ -406,8 +413,13 @@
 
 	@Override
 	public void close() {
-		this.processes.values().forEach(ManagedProcess::end);
+		endAll();
 		this.http.close();
+		Runtime.getRuntime().removeShutdownHook(this.endAll);
+	}
+
+	private void endAll() {
+		this.processes.values().forEach(ManagedProcess::end);
 	}
 
 	private boolean ok(Address address, String path) {
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ManagedProcess.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ManagedProcess.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -89,6 +90,14 @@
 		return this.process != null && this.process.isAlive() && !this.frozen;
 	}
 
+	/**
+	 * Reads how much processor time the process has used.
+	 * @return the time since its start, in nanoseconds
+	 */
+	public long cpuNanos() {
+		return this.process.info().totalCpuDuration().map(Duration::toNanos).orElse(0L);
+	}
+
 	/**
 	 * Reads what a stand-in endpoint wrote of its executions, over all its starts.
 	 * @return the executions in order
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ScenarioRun.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ScenarioRun.java
@@ -43,6 +43,8 @@
 
 	private final List<String> faults = new ArrayList<>();
 
+	private List<String> cutZones = List.of();
+
 	private Cluster cluster;
 
 	private LoadRunner loads;
@@ -100,6 +102,7 @@
 			fault(fault);
 		}
 		else if (step instanceof Step.CutPlatform cut) {
+			this.cutZones = List.copyOf(cut.zones());
 			post(this.cluster.process("platform"), "/cut", cut.zones());
 		}
 		else if (step instanceof Step.Vm vm) {
@@ -197,7 +200,10 @@
 	}
 
 	private void race(Step.Race race) {
-		List<ManagedProcess> entries = this.cluster.entries().stream().filter(ManagedProcess::running).toList();
+		List<ManagedProcess> entries = this.cluster.entries()
+			.stream()
+			.filter((entry) -> entry.running() && !this.cutZones.contains(entry.zone()))
+			.toList();
 		Rules base = this.cluster.currentRules();
 		long revision = this.cluster.revision(entries.get(0), "rules");
 		List<CompletableFuture<HttpReply>> sent = IntStream.range(0, race.operators())
