Lending, an expectation on load multiplied, and smaller node classes

Cause: with the retry budget off failing-endpoint still passed: the penalty alone kept load away from the one endpoint that failed.

Ruled out: counting retries inside the entry; the ledger is what an endpoint really saw.

--- a/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/ControllerMain.java
+++ b/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/ControllerMain.java
@@ -75,6 +75,7 @@
 			log.emit(LogEvent.STOPPED, 0);
 			stopped.countDown();
 		}, "shutdown"));
+		Mechanism.off().forEach((mechanism) -> log.emit(LogEvent.MECHANISM_OFF, mechanism));
 		log.emit(LogEvent.STARTED, "controller", settings.id(), settings.httpListen(), settings.peerListen());
 		stopped.await();
 	}
--- a/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/version/GroupPlanner.java
+++ b/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/version/GroupPlanner.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.monsoonvalve.core.process.Mechanism;
 import org.monsoonvalve.core.version.Configuration;
@@ -16,6 +17,7 @@
 import org.monsoonvalve.core.version.GroupTable;
 import org.monsoonvalve.core.version.Inventory;
 import org.monsoonvalve.core.version.PoolKind;
+import org.monsoonvalve.core.version.Rules;
 
 /**
  * Plans the replica groups of one availability zone as a pure function of the
@@ -83,17 +85,15 @@
 		this.lastFence = table.lastFence();
 		table.releasing().forEach(this::keepOrDropRelease);
 		table.groups().forEach(this::keepOrDissolve);
-		this.configuration.inventory()
-			.pools()
-			.stream()
-			.filter((pool) -> pool.kind() == PoolKind.MODEL)
-			.forEach((pool) -> {
-				repair(pool);
-				form(pool);
-			});
+		modelPools().forEach(this::repair);
+		modelPools().forEach(this::form);
 		return new GroupPlan(new GroupTable(this.zone, this.lastFence, this.groups, this.releasing), this.changes);
 	}
 
+	private List<Inventory.Pool> modelPools() {
+		return this.configuration.inventory().pools().stream().filter((pool) -> pool.kind() == PoolKind.MODEL).toList();
+	}
+
 	private void keepOrDropRelease(GroupTable.Release release) {
 		VmView view = this.views.get(release.vm());
 		boolean gone = view == null || view.released(release);
@@ -134,10 +134,21 @@
 		if (pool.vmsPerGroup() != group.members().size()) {
 			return Optional.of("its pool's groups have another size");
 		}
-		boolean foreign = group.members()
+		boolean foreign = group.members().stream().anyMatch((vm) -> !mayServe(vm, group.pool()));
+		return foreign ? Optional.of("a member left the pool or was called back by its owner") : Optional.empty();
+	}
+
+	private boolean mayServe(String vm, String pool) {
+		VmView view = this.views.get(vm);
+		return view != null
+				&& (view.vm().pool().equals(pool) || lendings(view.vm().pool(), pool).findFirst().isPresent());
+	}
+
+	private Stream<Rules.Lending> lendings(String from, String to) {
+		return this.configuration.rules()
+			.lending()
 			.stream()
-			.anyMatch((vm) -> !this.views.containsKey(vm) || !this.views.get(vm).vm().pool().equals(group.pool()));
-		return foreign ? Optional.of("a member left the pool") : Optional.empty();
+			.filter((lending) -> !lending.recalled() && lending.from().equals(from) && lending.to().equals(to));
 	}
 
 	private void repair(Inventory.Pool pool) {
@@ -165,12 +176,37 @@
 			lost.forEach((vm) -> this.releasing.add(new GroupTable.Release(vm, this.lastFence, this.nowMillis)));
 			add(new GroupTable.Group(group.id(), pool.id(), pool.model(), pool.version(), this.lastFence, members));
 		}
+		else if (takeBackLent(pool)) {
+			return;
+		}
 		else if (lost.stream().anyMatch(this::hopeless)) {
 			this.groups.remove(group);
 			dissolve(group, "lost " + lost + " and no VM replaces them");
 		}
 	}
 
+	/**
+	 * Dissolves a group that uses VMs of a pool whose owner needs them.
+	 * @param owner the pool that owns the VMs
+	 * @return {@code true} if VMs are on their way back
+	 */
+	private boolean takeBackLent(Inventory.Pool owner) {
+		Optional<GroupTable.Group> borrowing = this.groups.stream()
+			.filter((group) -> !group.pool().equals(owner.id()))
+			.filter((group) -> group.members().stream().anyMatch((vm) -> ownedBy(vm, owner)))
+			.findFirst();
+		borrowing.ifPresent((group) -> {
+			this.groups.remove(group);
+			dissolve(group, "pool " + owner.id() + " needs its VMs back");
+		});
+		return borrowing.isPresent() || this.releasing.stream()
+			.anyMatch((release) -> ownedBy(release.vm(), owner) && this.views.get(release.vm()).status().isPresent());
+	}
+
+	private boolean ownedBy(String vm, Inventory.Pool pool) {
+		return this.views.containsKey(vm) && this.views.get(vm).vm().pool().equals(pool.id());
+	}
+
 	private List<VmView> replacements(Inventory.Pool pool, List<String> survivors, int count, GroupPolicy policy) {
 		List<String> domains = survivors.stream()
 			.map((vm) -> this.views.get(vm).vm().fabricDomain())
@@ -200,6 +236,9 @@
 	private void form(Inventory.Pool pool) {
 		GroupPolicy policy = this.configuration.rules().groupPolicy();
 		List<VmView> free = new ArrayList<>(freeVms(pool));
+		int kept = toLend(pool);
+		free = new ArrayList<>(free.subList(0, Math.max(0, free.size() - kept)));
+		free.addAll(borrowed(pool));
 		boolean hasGroups = this.groups.stream().anyMatch((group) -> group.pool().equals(pool.id()));
 		while (free.size() >= pool.vmsPerGroup() + ((hasGroups) ? policy.sparesPerPool() : 0)) {
 			List<VmView> chosen = choose(free, pool.vmsPerGroup(), policy);
@@ -215,6 +254,37 @@
 		}
 	}
 
+	/**
+	 * Counts the free VMs that a pool leaves to its borrowers.
+	 * @param pool the owner
+	 * @return the number of VMs still to be lent
+	 */
+	private int toLend(Inventory.Pool pool) {
+		return this.configuration.rules()
+			.lending()
+			.stream()
+			.filter((lending) -> !lending.recalled() && lending.from().equals(pool.id()))
+			.mapToInt((lending) -> Math.max(0, lending.vmsPerZone() - lent(pool, lending.to())))
+			.sum();
+	}
+
+	private int lent(Inventory.Pool owner, String borrower) {
+		return (int) this.groups.stream()
+			.filter((group) -> group.pool().equals(borrower))
+			.flatMap((group) -> group.members().stream())
+			.filter((vm) -> ownedBy(vm, owner))
+			.count();
+	}
+
+	private List<VmView> borrowed(Inventory.Pool borrower) {
+		return this.configuration.inventory()
+			.pools()
+			.stream()
+			.flatMap((owner) -> lendings(owner.id(), borrower.id()).flatMap((lending) -> freeVms(owner).stream()
+				.limit(Math.max(0, lending.vmsPerZone() - lent(owner, borrower.id())))))
+			.toList();
+	}
+
 	private static List<VmView> choose(List<VmView> free, int size, GroupPolicy policy) {
 		if (policy == GroupPolicy.BASELINE) {
 			return free.subList(0, size).stream().toList();
--- a/monsoonvalve-controller/src/test/java/org/monsoonvalve/controller/version/GroupPlannerTests.java
+++ b/monsoonvalve-controller/src/test/java/org/monsoonvalve/controller/version/GroupPlannerTests.java
@@ -44,7 +44,7 @@
 				List.of(new Inventory.Pool("p", PoolKind.MODEL, "m", version, 2, 1, 8)));
 		DocumentStore store = DocumentStore.empty();
 		store.offer(document(DocumentKey.INVENTORY, inventory));
-		store.offer(document(DocumentKey.RULES, new Rules(null, null, null, null, policy)));
+		store.offer(document(DocumentKey.RULES, new Rules(null, null, null, null, null, policy)));
 		return Configuration.of(store);
 	}
 
@@ -74,6 +74,49 @@
 		return GroupPlanner.plan(configuration, GroupTable.empty("a"), views, 0).table();
 	}
 
+	private static Configuration lending(List<Inventory.Vm> vms, boolean recalled) {
+		Inventory inventory = new Inventory(List.of(Inventory.Zone.of("a", "r")), vms,
+				List.of(new Inventory.Pool("p", PoolKind.MODEL, "m", "1", 2, 1, 8),
+						new Inventory.Pool("q", PoolKind.MODEL, "n", "1", 2, 1, 8)));
+		DocumentStore store = DocumentStore.empty();
+		store.offer(document(DocumentKey.INVENTORY, inventory));
+		store.offer(document(DocumentKey.RULES, new Rules(null, null, null, null,
+				List.of(new Rules.Lending("p", "q", 2, recalled)), GroupPolicy.ACCELERATORS_FIRST)));
+		return Configuration.of(store);
+	}
+
+	private static List<String> membersOf(GroupTable table, String pool) {
+		return table.groups()
+			.stream()
+			.filter((group) -> group.pool().equals(pool))
+			.flatMap((group) -> group.members().stream())
+			.toList();
+	}
+
+	@Test
+	public void lendsVmsAndTakesThemBackWhenTheOwnerCallsThemBack() {
+		List<Inventory.Vm> vms = vms(4, 4, true);
+		GroupTable lent = formed(lending(vms, false), all(vms));
+		Assert.assertEquals(membersOf(lent, "p"), List.of("v0", "v1"));
+		Assert.assertEquals(membersOf(lent, "q"), List.of("v2", "v3"));
+		GroupTable recalled = GroupPlanner.plan(lending(vms, true), lent, all(vms), 0).table();
+		Assert.assertTrue(membersOf(recalled, "q").isEmpty());
+		GroupTable back = GroupPlanner.plan(lending(vms, true), recalled, all(vms), 1000).table();
+		Assert.assertEquals(membersOf(back, "p").size(), 4);
+	}
+
+	@Test
+	public void takesLentVmsBackWhenTheOwnersGroupLostAMember() {
+		List<Inventory.Vm> vms = vms(4, 4, true);
+		Configuration configuration = lending(vms, false);
+		GroupTable lent = formed(configuration, all(vms));
+		VmView lost = missing(vms.get(1), 3001);
+		GroupTable taking = GroupPlanner.plan(configuration, lent, all(vms, lost), 0).table();
+		Assert.assertTrue(membersOf(taking, "q").isEmpty());
+		GroupTable repaired = GroupPlanner.plan(configuration, taking, all(vms, lost), 1000).table();
+		Assert.assertEquals(membersOf(repaired, "p"), List.of("v0", "v2"));
+	}
+
 	@Test
 	public void packsGroupsIntoFabricDomains() {
 		List<Inventory.Vm> vms = vms(6, 3, true);
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
@@ -1,6 +1,5 @@
 package org.monsoonvalve.core.connection;
 
-import java.io.ByteArrayOutputStream;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -86,7 +85,7 @@
 	 * @return the response, or a {@link ServingException}
 	 */
 	public CompletableFuture<HttpReply> exchange(HttpCall call, long timeoutMillis, int limitBytes) {
-		Collector collector = new Collector(limitBytes);
+		ReplyCollector collector = ReplyCollector.of(limitBytes);
 		try {
 			send(call, timeoutMillis, collector);
 		}
@@ -97,8 +96,8 @@
 				() -> fail(new ServingException(FailureCode.TIMEOUT,
 						this.address + " did not finish within " + timeoutMillis + " ms")),
 				timeoutMillis, TimeUnit.MILLISECONDS);
-		collector.reply.whenComplete((reply, failure) -> deadline.cancel(false));
-		return collector.reply;
+		collector.reply().whenComplete((reply, failure) -> deadline.cancel(false));
+		return collector.reply();
 	}
 
 	/**
@@ -208,48 +207,4 @@
 
 	}
 
-	private static final class Collector implements ReplyListener {
-
-		private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
-
-		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-
-		private final int limitBytes;
-
-		private int status;
-
-		private Headers headers = Headers.empty();
-
-		private Collector(int limitBytes) {
-			this.limitBytes = limitBytes;
-		}
-
-		@Override
-		public void onHeaders(int status, Headers headers) {
-			this.status = status;
-			this.headers = headers;
-		}
-
-		@Override
-		public void onBody(byte[] chunk) {
-			if (this.body.size() + chunk.length > this.limitBytes) {
-				onFailure(new ServingException(FailureCode.ANSWER_TOO_LARGE,
-						"the answer is larger than " + this.limitBytes + " bytes"));
-				return;
-			}
-			this.body.writeBytes(chunk);
-		}
-
-		@Override
-		public void onComplete() {
-			this.reply.complete(new HttpReply(this.status, this.headers, this.body.toByteArray()));
-		}
-
-		@Override
-		public void onFailure(ServingException failure) {
-			this.reply.completeExceptionally(failure);
-		}
-
-	}
-
 }
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/Mechanism.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/Mechanism.java
@@ -72,6 +72,14 @@
 		Arrays.stream(names.split(",")).filter((name) -> !name.isBlank()).map(Mechanism::of).forEach(OFF::add);
 	}
 
+	/**
+	 * Returns the mechanisms that a test switched off.
+	 * @return the mechanisms
+	 */
+	public static Set<Mechanism> off() {
+		return Set.copyOf(OFF);
+	}
+
 	/**
 	 * Tells whether the mechanism works.
 	 * @return {@code false} if a test switched it off
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/PauseGate.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/PauseGate.java
@@ -54,6 +54,18 @@
 		return runRound();
 	}
 
+	/**
+	 * Notes that the configuration was compared with others outside a round.
+	 * @param start when the comparison began
+	 */
+	public void confirm(ElapsedClock.Reading start) {
+		this.lastRound.accumulateAndGet(start, PauseGate::later);
+	}
+
+	private static ElapsedClock.Reading later(ElapsedClock.Reading known, ElapsedClock.Reading start) {
+		return (known != null && known.monotonicMillis() > start.monotonicMillis()) ? known : start;
+	}
+
 	/**
 	 * Runs a round, or joins the one that is running.
 	 * @return completed when the round has ended
@@ -66,7 +78,7 @@
 		}
 		ElapsedClock.Reading start = this.clock.now();
 		this.round.get().whenComplete((done, failure) -> {
-			this.lastRound.set(start);
+			confirm(start);
 			this.running.set(null);
 			mine.complete(null);
 		});
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/DocumentValidator.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/DocumentValidator.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 
 import org.monsoonvalve.core.process.Codec;
@@ -111,6 +112,7 @@
 			checkKnown(path + ".pools", (workspace.pools() != null) ? workspace.pools() : List.of(), pools,
 					"a pool of the inventory");
 		}
+		checkLending(rules, pools);
 		for (int i = 0; i < rules.nonRepeatable().size(); i++) {
 			Rules.NonRepeatable call = rules.nonRepeatable().get(i);
 			String path = "nonRepeatable[" + i + "]";
@@ -122,6 +124,17 @@
 		}
 	}
 
+	private void checkLending(Rules rules, Set<String> pools) {
+		for (int i = 0; i < rules.lending().size(); i++) {
+			Rules.Lending lending = rules.lending().get(i);
+			String path = "lending[" + i + "]";
+			require(pools.contains(lending.from()), path + ".from", "'" + lending.from() + "' is not a pool");
+			require(pools.contains(lending.to()), path + ".to", "'" + lending.to() + "' is not a pool");
+			require(!Objects.equals(lending.from(), lending.to()), path + ".to", "a pool can't lend to itself");
+			require(lending.vmsPerZone() >= 1, path + ".vmsPerZone", "1 or more is needed");
+		}
+	}
+
 	private void checkKnown(String path, List<String> names, Set<String> known, String expected) {
 		for (int i = 0; i < names.size(); i++) {
 			require(known.contains(names.get(i)), path + "[" + i + "]", "'" + names.get(i) + "' is not " + expected);
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/Rules.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/Rules.java
@@ -11,10 +11,11 @@
  * @param endpointsOut the VMs taken out of service
  * @param workspaces the workspaces and their limits
  * @param nonRepeatable the calls of plain services that may run at most once
+ * @param lending which pools lend VMs to which
  * @param groupPolicy how replica groups are formed and repaired
  */
 public record Rules(List<String> zonesOut, List<String> endpointsOut, List<Workspace> workspaces,
-		List<NonRepeatable> nonRepeatable, GroupPolicy groupPolicy) {
+		List<NonRepeatable> nonRepeatable, List<Lending> lending, GroupPolicy groupPolicy) {
 
 	/**
 	 * Replaces missing lists by empty ones.
@@ -22,6 +23,7 @@
 	 * @param endpointsOut the VMs taken out of service
 	 * @param workspaces the workspaces and their limits
 	 * @param nonRepeatable the calls of plain services that may run at most once
+	 * @param lending which pools lend VMs to which
 	 * @param groupPolicy how replica groups are formed and repaired
 	 */
 	public Rules {
@@ -29,6 +31,7 @@
 		endpointsOut = copy(endpointsOut);
 		workspaces = copy(workspaces);
 		nonRepeatable = copy(nonRepeatable);
+		lending = copy(lending);
 		groupPolicy = (groupPolicy != null) ? groupPolicy : GroupPolicy.DOWNTIME_FIRST;
 	}
 
@@ -37,7 +40,17 @@
 	 * @return the empty rules
 	 */
 	public static Rules empty() {
-		return new Rules(null, null, null, null, null);
+		return new Rules(null, null, null, null, null, null);
+	}
+
+	/**
+	 * Returns the rules with other lists of what is out of service.
+	 * @param zones the availability zones taken out of service
+	 * @param endpoints the VMs taken out of service
+	 * @return the changed rules
+	 */
+	public Rules withOut(List<String> zones, List<String> endpoints) {
+		return new Rules(zones, endpoints, this.workspaces, this.nonRepeatable, this.lending, this.groupPolicy);
 	}
 
 	private static <T> List<T> copy(List<T> list) {
@@ -58,6 +71,18 @@
 
 	}
 
+	/**
+	 * Lets a pool use VMs of another one while its owner can spare them.
+	 *
+	 * @param from the pool that owns the VMs
+	 * @param to the pool that borrows them
+	 * @param vmsPerZone how many VMs are lent at most in each availability zone
+	 * @param recalled whether the owner wants them back at once
+	 */
+	public record Lending(String from, String to, int vmsPerZone, boolean recalled) {
+
+	}
+
 	/**
 	 * Calls that may run at most once.
 	 *
--- a/monsoonvalve-ctl/src/main/java/org/monsoonvalve/ctl/process/Commands.java
+++ b/monsoonvalve-ctl/src/main/java/org/monsoonvalve/ctl/process/Commands.java
@@ -106,13 +106,11 @@
 	}
 
 	int switchZone(String zone, boolean out) {
-		return editRules((rules) -> new Rules(switched(rules.zonesOut(), zone, out), rules.endpointsOut(),
-				rules.workspaces(), rules.nonRepeatable(), rules.groupPolicy()));
+		return editRules((rules) -> rules.withOut(switched(rules.zonesOut(), zone, out), rules.endpointsOut()));
 	}
 
 	int switchEndpoint(String vm, boolean out) {
-		return editRules((rules) -> new Rules(rules.zonesOut(), switched(rules.endpointsOut(), vm, out),
-				rules.workspaces(), rules.nonRepeatable(), rules.groupPolicy()));
+		return editRules((rules) -> rules.withOut(rules.zonesOut(), switched(rules.endpointsOut(), vm, out)));
 	}
 
 	int status() {
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
@@ -13,6 +13,7 @@
 import org.monsoonvalve.core.connection.PlatformStore;
 import org.monsoonvalve.core.process.LeaseElection;
 import org.monsoonvalve.core.process.Node;
+import org.monsoonvalve.core.version.Configuration;
 import org.monsoonvalve.core.version.Inventory;
 
 /**
@@ -64,7 +65,7 @@
 	 */
 	public static Slots start(Node node) {
 		Slots slots = new Slots(node);
-		node.onFrame(slots::received);
+		node.exchange().onOtherFrame(slots::received);
 		node.every("slot-election", ELECTION_PERIOD_MILLIS, slots::elect);
 		return slots;
 	}
@@ -95,11 +96,27 @@
 		if (holder.isEmpty()) {
 			return CompletableFuture.completedFuture(Optional.empty());
 		}
-		return this.node.peers()
+		return this.node.exchange()
+			.transport()
 			.ask(holder.get(), request, ISSUER_TIMEOUT_MILLIS)
 			.handle((answer, failure) -> remoteSlot(holder.get(), answer));
 	}
 
+	/**
+	 * Works out how many slots this issuer may issue for an endpoint.
+	 * @param name the endpoint's VM
+	 * @return the number of slots, without a reserved one
+	 */
+	private int capacityOf(String name) {
+		Configuration configuration = this.node.configuration();
+		Inventory.Vm vm = configuration.vms().get(name);
+		if (vm == null) {
+			return 0;
+		}
+		int reserved = configuration.coldReserve(vm.availabilityZone()).isPresent() ? 1 : 0;
+		return configuration.pools().get(vm.pool()).coldSlots() - reserved;
+	}
+
 	private Slot reservedSlot(String id) {
 		return new Slot(id, () -> this.reserveIssuer.release(id));
 	}
@@ -119,14 +136,15 @@
 	private Optional<Slot> remoteSlot(Address holder, PeerFrame answer) {
 		if (answer instanceof PeerFrame.SlotReply reply && !reply.slotId().isEmpty()) {
 			PeerFrame release = new PeerFrame.SlotRelease(reply.slotId());
-			return Optional
-				.of(new Slot(reply.slotId(), () -> this.node.peers().ask(holder, release, ISSUER_TIMEOUT_MILLIS)));
+			return Optional.of(new Slot(reply.slotId(),
+					() -> this.node.exchange().transport().ask(holder, release, ISSUER_TIMEOUT_MILLIS)));
 		}
 		return Optional.empty();
 	}
 
 	private CompletableFuture<PeerFrame> received(PeerFrame frame) {
-		if (frame instanceof PeerFrame.SlotRequest request) {
+		if (frame instanceof PeerFrame.SlotRequest asked) {
+			PeerFrame.SlotRequest request = asked.withCapacity(Math.min(asked.capacity(), capacityOf(asked.vm())));
 			Optional<String> issued = this.election.held() ? this.issuer.issue(request, term()) : Optional.empty();
 			return CompletableFuture.completedFuture(new PeerFrame.SlotReply(issued.orElse("")));
 		}
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/process/AdminApi.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/process/AdminApi.java
@@ -168,8 +168,8 @@
 		List<Member> nodes = Stream.concat(Stream.of(this.node.self()), this.node.membership().live().stream())
 			.sorted(Comparator.comparing(Member::id))
 			.toList();
-		return new Status(configuration.inventoryRevision(), configuration.rulesRevision(), this.node.platformAnswers(),
-				nodes, List.copyOf(configuration.groups().values()));
+		return new Status(configuration.inventoryRevision(), configuration.rulesRevision(),
+				this.node.reader().platformAnswers(), nodes, List.copyOf(configuration.groups().values()));
 	}
 
 	/**
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/process/EntryMain.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/process/EntryMain.java
@@ -3,7 +3,6 @@
 import java.lang.management.ManagementFactory;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -14,6 +13,7 @@
 import org.monsoonvalve.core.process.Logs;
 import org.monsoonvalve.core.process.Mechanism;
 import org.monsoonvalve.core.process.Node;
+import org.monsoonvalve.core.process.Pauses;
 import org.monsoonvalve.core.process.Settings;
 import org.monsoonvalve.entry.connection.Endpoints;
 import org.monsoonvalve.entry.connection.Slots;
@@ -75,6 +75,7 @@
 		Logs.configure(settings.node().logFormat());
 		EntryMain entry = new EntryMain(settings);
 		Runtime.getRuntime().addShutdownHook(new Thread(entry::shutDown, "shutdown"));
+		Mechanism.off().forEach((mechanism) -> entry.log.emit(LogEvent.MECHANISM_OFF, mechanism));
 		entry.log.emit(LogEvent.STARTED, "entry", settings.node().id(), settings.node().httpListen(),
 				settings.node().peerListen());
 		entry.stopped.await();
@@ -82,12 +83,12 @@
 
 	private void registerGauges(MetricRegistry metrics) {
 		metrics.register("requests.in-progress", (Gauge<Integer>) this.server::inProgress);
-		metrics.register("peers.bytes-out", (Gauge<Long>) () -> this.node.peers().traffic().bytesOut());
-		metrics.register("peers.bytes-in", (Gauge<Long>) () -> this.node.peers().traffic().bytesIn());
-		metrics.register("peers.frames-out", (Gauge<Long>) () -> this.node.peers().framesOut());
+		metrics.register("peers.bytes-out", (Gauge<Long>) () -> this.node.exchange().transport().traffic().bytesOut());
+		metrics.register("peers.bytes-in", (Gauge<Long>) () -> this.node.exchange().transport().traffic().bytesIn());
+		metrics.register("peers.frames-out", (Gauge<Long>) () -> this.node.exchange().transport().framesOut());
 		metrics.register("http-client.bytes-out", (Gauge<Long>) () -> this.node.http().traffic().bytesOut());
 		metrics.register("http-client.bytes-in", (Gauge<Long>) () -> this.node.http().traffic().bytesIn());
-		metrics.register("platform.reads", (Gauge<Long>) this.node::platformReads);
+		metrics.register("platform.reads", (Gauge<Long>) () -> this.node.reader().reads());
 		metrics.register("process.cpu-nanos", (Gauge<Long>) EntryMain::cpuNanos);
 		metrics.register("process.heap-bytes",
 				(Gauge<Long>) () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
@@ -104,7 +105,7 @@
 			this.server.drain();
 			this.frontend.drain();
 			this.node.leave();
-			pause(this.settings.lingerMillis());
+			Pauses.millis(this.settings.lingerMillis());
 			awaitRequests();
 		}
 		this.log.emit(LogEvent.STOPPED, this.server.inProgress());
@@ -117,16 +118,7 @@
 	private void awaitRequests() {
 		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.drainMillis());
 		while (this.server.inProgress() > 0 && System.nanoTime() < deadlineNanos) {
-			pause(DRAIN_POLL_MILLIS);
-		}
-	}
-
-	private static void pause(long millis) {
-		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
-		long left = deadlineNanos - System.nanoTime();
-		while (left > 0) {
-			LockSupport.parkNanos(left);
-			left = deadlineNanos - System.nanoTime();
+			Pauses.millis(DRAIN_POLL_MILLIS);
 		}
 	}
 
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/ModelCall.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/ModelCall.java
@@ -93,9 +93,13 @@
 		this.context.findTarget().whenComplete((prepared, failure) -> {
 			if (failure != null) {
 				fail(ServingException.from(failure));
-				return;
 			}
-			send(prepared);
+			else if (this.ended.get()) {
+				prepared.fail();
+			}
+			else {
+				send(prepared);
+			}
 		});
 	}
 
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/Prepared.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/Prepared.java
@@ -1,11 +1,13 @@
 package org.monsoonvalve.entry.request;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 
 import org.monsoonvalve.core.connection.HttpCall;
 import org.monsoonvalve.core.connection.HttpConnection;
+import org.monsoonvalve.core.connection.HttpReply;
 import org.monsoonvalve.core.connection.ReplyListener;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
@@ -76,11 +78,27 @@
 	 */
 	public void send(HttpCall call, long progressTimeoutMillis, ReplyListener listener) {
 		if (!this.valid.getAsBoolean()) {
-			throw new ServingException(FailureCode.UNREACHABLE, this.target.id() + " is no longer known to be ready");
+			throw notReady();
 		}
 		this.connection.send(call, progressTimeoutMillis, listener);
 	}
 
+	/**
+	 * Sends the request, unless the evidence has become too old in the meantime, and
+	 * collects the whole response.
+	 * @param call the request
+	 * @param timeoutMillis the longest time for the whole exchange, in milliseconds
+	 * @param limitBytes the largest content, in bytes
+	 * @return the response, or a {@link ServingException}, with
+	 * {@link FailureCode#UNREACHABLE} if no byte was sent
+	 */
+	public CompletableFuture<HttpReply> exchange(HttpCall call, long timeoutMillis, int limitBytes) {
+		if (!this.valid.getAsBoolean()) {
+			return CompletableFuture.failedFuture(notReady());
+		}
+		return this.connection.exchange(call, timeoutMillis, limitBytes);
+	}
+
 	/**
 	 * Ends the use of the target after a whole response.
 	 */
@@ -102,6 +120,10 @@
 		}
 	}
 
+	private ServingException notReady() {
+		return new ServingException(FailureCode.UNREACHABLE, this.target.id() + " is no longer known to be ready");
+	}
+
 	private void settle() {
 		this.endpoint.outstanding().decrementAndGet();
 		this.slot.ifPresent((held) -> held.release().run());
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/RequestContext.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/RequestContext.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.monsoonvalve.core.process.ElapsedClock;
+import org.monsoonvalve.core.process.Mechanism;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 import org.monsoonvalve.core.version.Inventory;
@@ -113,9 +114,7 @@
 	}
 
 	private CompletableFuture<Prepared> findTarget(ElapsedClock.Reading since) {
-		return this.environment.node()
-			.gate()
-			.pass()
+		return passGate()
 			.thenCompose((passed) -> tryEach(this.environment.candidates(this.pool, this.affinity), 0, null))
 			.handle((prepared, failure) -> {
 				if (failure == null) {
@@ -127,6 +126,11 @@
 			.thenCompose((next) -> next);
 	}
 
+	private CompletableFuture<Void> passGate() {
+		return Mechanism.PAUSE_GATE.on() ? this.environment.node().gate().pass()
+				: CompletableFuture.completedFuture(null);
+	}
+
 	private CompletableFuture<Prepared> pauseAndTry(ElapsedClock.Reading since) {
 		CompletableFuture<Void> paused = new CompletableFuture<>();
 		this.environment.node()
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/ServiceCall.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/ServiceCall.java
@@ -9,7 +9,6 @@
 import org.monsoonvalve.core.connection.HttpCall;
 import org.monsoonvalve.core.connection.HttpReply;
 import org.monsoonvalve.core.connection.IncomingCall;
-import org.monsoonvalve.core.connection.ReplyListener;
 import org.monsoonvalve.core.process.EventLog;
 import org.monsoonvalve.core.process.LogEvent;
 import org.monsoonvalve.core.process.Mechanism;
@@ -119,16 +118,39 @@
 				end(ServingException.from(failure));
 				return;
 			}
-			try {
-				prepared.send(this.upstream, this.environment.limits().serviceMillis(), new Answer(prepared));
-			}
-			catch (ServingException ex) {
-				prepared.fail();
-				dispatch();
-			}
+			prepared.exchange(this.upstream, this.environment.limits().serviceMillis(), MAX_ANSWER_BYTES)
+				.whenComplete((reply, lost) -> settle(prepared, reply, lost));
 		});
 	}
 
+	private void settle(Prepared prepared, HttpReply reply, Throwable failure) {
+		if (failure == null) {
+			prepared.succeed();
+			keepAndAnswer(reply);
+			return;
+		}
+		prepared.fail();
+		ServingException cause = ServingException.from(failure);
+		switch (cause.code()) {
+			case UNREACHABLE -> dispatch();
+			case ANSWER_TOO_LARGE -> end(cause);
+			default -> {
+				prepared.endpoint().failed();
+				prepared.endpoint().closeIdle();
+				lost(cause);
+			}
+		}
+	}
+
+	private void keepAndAnswer(HttpReply reply) {
+		if (this.claim.isPresent()) {
+			this.claims.keepOutcome(this.claim.get(), reply).thenRun(() -> answer(reply));
+		}
+		else {
+			answer(reply);
+		}
+	}
+
 	private void lost(ServingException failure) {
 		boolean mayRepeat = this.repeatable || !Mechanism.AT_MOST_ONCE.on();
 		if (mayRepeat && this.environment.budget(this.context.pool()).withdraw()) {
@@ -175,60 +197,4 @@
 			.toList());
 	}
 
-	private final class Answer implements ReplyListener {
-
-		private final Prepared prepared;
-
-		private final java.io.ByteArrayOutputStream body = new java.io.ByteArrayOutputStream();
-
-		private int status;
-
-		private Headers headers = Headers.empty();
-
-		private Answer(Prepared prepared) {
-			this.prepared = prepared;
-		}
-
-		@Override
-		public void onHeaders(int status, Headers headers) {
-			this.status = status;
-			this.headers = headers;
-		}
-
-		@Override
-		public void onBody(byte[] chunk) {
-			if (this.body.size() + chunk.length > MAX_ANSWER_BYTES) {
-				this.prepared.fail();
-				return;
-			}
-			this.body.writeBytes(chunk);
-		}
-
-		@Override
-		public void onComplete() {
-			this.prepared.succeed();
-			HttpReply reply = new HttpReply(this.status, this.headers, this.body.toByteArray());
-			ServiceCall owner = ServiceCall.this;
-			if (owner.claim.isPresent()) {
-				owner.claims.keepOutcome(owner.claim.get(), reply).thenRun(() -> answer(reply));
-			}
-			else {
-				answer(reply);
-			}
-		}
-
-		@Override
-		public void onFailure(ServingException failure) {
-			this.prepared.fail();
-			this.prepared.endpoint().failed();
-			this.prepared.endpoint().closeIdle();
-			boolean tooLarge = this.body.size() > 0 && failure.code() == FailureCode.ENDPOINT_LOST;
-			lost(tooLarge
-					? new ServingException(FailureCode.ENDPOINT_LOST,
-							"the endpoint's answer broke off or was larger than " + MAX_ANSWER_BYTES + " bytes")
-					: failure);
-		}
-
-	}
-
 }
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/Cluster.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/Cluster.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
@@ -30,6 +29,7 @@
 import org.monsoonvalve.core.connection.HttpClient;
 import org.monsoonvalve.core.connection.HttpReply;
 import org.monsoonvalve.core.process.Codec;
+import org.monsoonvalve.core.process.Pauses;
 import org.monsoonvalve.core.version.GroupPolicy;
 import org.monsoonvalve.core.version.Inventory;
 import org.monsoonvalve.core.version.PoolKind;
@@ -234,7 +234,7 @@
 		return new Rules(List.of(), List.of(),
 				List.of(new Rules.Workspace("foremen", DigestUtils.sha256Hex(WORKSPACE_KEY), pools, 1, 1, MAX_QUEUED),
 						new Rules.Workspace("greedy", DigestUtils.sha256Hex(GREEDY_KEY), pools, 1, 1, MAX_QUEUED)),
-				List.of(new Rules.NonRepeatable(SERVICE_POOL, "POST", "/bookings")),
+				List.of(new Rules.NonRepeatable(SERVICE_POOL, "POST", "/bookings")), List.of(),
 				GroupPolicy.of(this.spec.policy()));
 	}
 
@@ -394,20 +394,7 @@
 			if (System.nanoTime() - deadlineNanos > 0) {
 				throw new IllegalStateException(what + " did not come up in " + START_TIMEOUT_MILLIS + " ms");
 			}
-			pause(50);
-		}
-	}
-
-	/**
-	 * Pauses the calling thread.
-	 * @param millis how long, in milliseconds
-	 */
-	public static void pause(long millis) {
-		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
-		long left = deadlineNanos - System.nanoTime();
-		while (left > 0) {
-			LockSupport.parkNanos(left);
-			left = deadlineNanos - System.nanoTime();
+			Pauses.millis(50);
 		}
 	}
 
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ConfigurationSampler.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ConfigurationSampler.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.monsoonvalve.core.process.Pauses;
 import org.monsoonvalve.scenarios.process.Timeline.EventKind;
 import org.monsoonvalve.scenarios.version.Evidence;
 
@@ -57,7 +58,7 @@
 	private void run() {
 		while (!this.stopped) {
 			this.cluster.entries().stream().filter(ManagedProcess::running).forEach(this::sample);
-			Cluster.pause(PERIOD_MILLIS);
+			Pauses.millis(PERIOD_MILLIS);
 		}
 	}
 
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ControlBench.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ControlBench.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.monsoonvalve.core.connection.HttpCall;
 import org.monsoonvalve.core.process.Codec;
+import org.monsoonvalve.core.process.Pauses;
 import org.monsoonvalve.core.version.Rules;
 
 /**
@@ -43,7 +44,7 @@
 				null, null);
 		Path logs = Path.of("target", "scenario-logs", "control");
 		try (Cluster cluster = Cluster.start(spec, logs, new Timeline())) {
-			Cluster.pause(SETTLE_MILLIS);
+			Pauses.millis(SETTLE_MILLIS);
 			List<EntryGauges> before = gauges(cluster);
 			JsonNode countsBefore = counts(cluster);
 			long controllerBefore = controllerCpuNanos(cluster);
@@ -65,12 +66,12 @@
 		long endNanos = System.nanoTime() + (long) (seconds * NANOS_PER_SECOND);
 		while (System.nanoTime() - endNanos < 0) {
 			if (perSecond == 0) {
-				Cluster.pause(200);
+				Pauses.millis(200);
 				continue;
 			}
 			Rules rules = cluster.currentRules();
 			cluster.apply("rules", new String(Codec.YAML.encode(rules), StandardCharsets.UTF_8));
-			Cluster.pause((long) (1000 / perSecond));
+			Pauses.millis((long) (1000 / perSecond));
 		}
 	}
 
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/PolicyTrial.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/PolicyTrial.java
@@ -90,7 +90,7 @@
 				List.of(new Inventory.Pool("p", PoolKind.MODEL, "m", "1", PER_GROUP, 1, 8)));
 		DocumentStore store = DocumentStore.empty();
 		store.offer(document(DocumentKey.INVENTORY, inventory));
-		store.offer(document(DocumentKey.RULES, new Rules(null, null, null, null, policy)));
+		store.offer(document(DocumentKey.RULES, new Rules(null, null, null, null, null, policy)));
 		this.configuration = Configuration.of(store);
 		this.targetGroups = 4;
 	}
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ScenarioRun.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ScenarioRun.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
@@ -17,6 +18,7 @@
 import org.monsoonvalve.core.connection.HttpReply;
 import org.monsoonvalve.core.connection.VmList;
 import org.monsoonvalve.core.process.Codec;
+import org.monsoonvalve.core.process.Pauses;
 import org.monsoonvalve.core.version.Rules;
 import org.monsoonvalve.scenarios.process.Timeline.EventKind;
 import org.monsoonvalve.scenarios.request.Observation;
@@ -25,6 +27,7 @@
 import org.monsoonvalve.scenarios.version.Promise;
 import org.monsoonvalve.scenarios.version.Scenario;
 import org.monsoonvalve.scenarios.version.Step;
+import org.monsoonvalve.standins.request.LedgerEntry;
 
 /**
  * Runs a scenario and all checkers after it.
@@ -93,7 +96,7 @@
 			this.loads.finish();
 		}
 		else if (step instanceof Step.Pause pause) {
-			Cluster.pause(pause.millis());
+			Pauses.millis(pause.millis());
 		}
 		else if (step instanceof Step.Act act) {
 			act(act);
@@ -191,8 +194,7 @@
 		if (out) {
 			names.add(name);
 		}
-		return new Rules(zone ? names : rules.zonesOut(), zone ? rules.endpointsOut() : names, rules.workspaces(),
-				rules.nonRepeatable(), rules.groupPolicy());
+		return rules.withOut(zone ? names : rules.zonesOut(), zone ? rules.endpointsOut() : names);
 	}
 
 	private static String text(Rules rules) {
@@ -243,6 +245,7 @@
 		if (expect.cutAtMost() != null && cut > expect.cutAtMost()) {
 			this.faults.add("load " + expect.load() + ": " + cut + " requests were cut off");
 		}
+		expectRuns(expect, judged);
 		long p95Millis = percentile(judged, NINETY_FIVE);
 		if (expect.p95Millis() > 0 && p95Millis > expect.p95Millis()) {
 			this.faults.add("load " + expect.load() + ": 95 in 100 took up to " + p95Millis + " ms, expected "
@@ -250,6 +253,18 @@
 		}
 	}
 
+	private void expectRuns(Step.Expect expect, List<Observation> judged) {
+		Set<String> sent = judged.stream().map(Observation::clientId).collect(Collectors.toSet());
+		double runs = this.cluster.ledger()
+			.stream()
+			.filter((entry) -> LedgerEntry.RUN.equals(entry.kind()) && sent.contains(entry.clientId()))
+			.count();
+		if (expect.runsPerRequestAtMost() > 0 && runs / sent.size() > expect.runsPerRequestAtMost()) {
+			this.faults.add(String.format(Locale.ROOT, "load %s: %.2f runs for each request, expected %.2f at most",
+					expect.load(), runs / sent.size(), expect.runsPerRequestAtMost()));
+		}
+	}
+
 	private static double share(List<Observation> judged, Outcome outcome) {
 		return judged.stream().mapToInt((seen) -> (seen.outcome() == outcome) ? 1 : 0).average().orElse(0);
 	}
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/request/StreamLoad.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/request/StreamLoad.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
-import java.util.concurrent.locks.LockSupport;
 
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
@@ -16,6 +15,7 @@
 import org.monsoonvalve.core.connection.HttpClient;
 import org.monsoonvalve.core.connection.HttpConnection;
 import org.monsoonvalve.core.connection.ReplyListener;
+import org.monsoonvalve.core.process.Pauses;
 import org.monsoonvalve.core.request.ServingException;
 
 /**
@@ -82,11 +82,7 @@
 		long startNanos = System.nanoTime();
 		for (int i = 0; i < count; i++) {
 			long dueNanos = startNanos + (long) (i * TimeUnit.SECONDS.toNanos(1) / perSecond);
-			long wait = dueNanos - System.nanoTime();
-			while (wait > 0) {
-				LockSupport.parkNanos(wait);
-				wait = dueNanos - System.nanoTime();
-			}
+			Pauses.untilNanos(dueNanos);
 			send(this.targets.get(i % this.targets.size()), i, tokensEach, dueNanos, left);
 		}
 		try {
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/version/Step.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/version/Step.java
@@ -155,9 +155,11 @@
 	 * milliseconds, 0 for any
 	 * @param lastMillis judges only the requests sent in the last of these milliseconds
 	 * of the load, 0 for all
+	 * @param runsPerRequestAtMost the greatest mean number of runs at endpoints that a
+	 * request caused, 0 for any
 	 */
-	record Expect(String load, double answeredAtLeast, Integer cutAtMost, long p95Millis,
-			long lastMillis) implements Step {
+	record Expect(String load, double answeredAtLeast, Integer cutAtMost, long p95Millis, long lastMillis,
+			double runsPerRequestAtMost) implements Step {
 
 	}
 
