Spares hold weights, broken groups are merged, loads complete groups first; what a cold endpoint was told

Ruled out: dissolving sooner (costs loads, gains nothing); a check of the endpoint's answers that is stricter than what an endpoint says.

Change: free VMs hold weights; a broken group gives its survivors to another broken group that they make whole; loads under the weight store's limit go to the group nearest to complete; leaving a group keeps the weights.

A zone whose VMs are all in groups gives accelerators-first little room.

--- a/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/GroupKeeper.java
+++ b/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/GroupKeeper.java
@@ -13,7 +13,9 @@
 
 import org.monsoonvalve.controller.version.GroupPlan;
 import org.monsoonvalve.controller.version.GroupPlanner;
+import org.monsoonvalve.controller.version.LoadPlanner;
 import org.monsoonvalve.controller.version.VmView;
+import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.EngineOrder;
 import org.monsoonvalve.core.connection.HttpCall;
 import org.monsoonvalve.core.connection.PlatformStore;
@@ -30,6 +32,7 @@
 import org.monsoonvalve.core.version.Envelope;
 import org.monsoonvalve.core.version.GroupTable;
 import org.monsoonvalve.core.version.Inventory;
+import org.monsoonvalve.core.version.PoolKind;
 import org.monsoonvalve.core.version.VersionedDocument;
 
 /**
@@ -146,33 +149,36 @@
 			.collect(Collectors.toMap((view) -> view.vm().id(), Function.identity()));
 		table.releasing()
 			.stream()
-			.filter((release) -> byName.containsKey(release.vm()))
-			.map((release) -> byName.get(release.vm()))
-			.filter((view) -> view.status().filter((said) -> !said.group().isEmpty()).isPresent())
-			.forEach((view) -> unload(table, view));
-		table.groups()
-			.forEach((group) -> group.members()
-				.stream()
-				.map(byName::get)
-				.filter((view) -> view != null && view.status().isPresent() && !view.follows(group))
-				.forEach((view) -> load(group, view)));
+			.filter((release) -> byName.containsKey(release.vm()) && !byName.get(release.vm()).released(release))
+			.filter((release) -> byName.get(release.vm()).status().isPresent())
+			.forEach((release) -> release(release, byName.get(release.vm()).vm()));
+		LoadPlanner.next(this.node.configuration(), table, views).forEach((load) -> load(table, load));
 	}
 
-	private void unload(GroupTable table, VmView view) {
-		long fence = table.releasing()
-			.stream()
-			.filter((release) -> release.vm().equals(view.vm().id()))
-			.mapToLong(GroupTable.Release::fence)
-			.max()
-			.orElse(table.lastFence());
-		order(view.vm(), new EngineOrder(EngineOrder.UNLOAD, "", fence, "", List.of()));
+	private void release(GroupTable.Release release, Inventory.Vm vm) {
+		String model = modelOf(vm);
+		String kind = model.isEmpty() ? EngineOrder.UNLOAD : EngineOrder.HOLD;
+		order(vm, new EngineOrder(kind, "", release.fence(), model, List.of()));
 	}
 
-	private void load(GroupTable.Group group, VmView view) {
+	private void load(GroupTable table, LoadPlanner.Load load) {
+		Inventory.Vm vm = load.view().vm();
+		if (load.group().isEmpty()) {
+			order(vm, new EngineOrder(EngineOrder.HOLD, "", table.lastFence(), modelOf(vm), List.of()));
+			return;
+		}
+		GroupTable.Group group = load.group().get();
 		Configuration configuration = this.node.configuration();
-		order(view.vm(), new EngineOrder(EngineOrder.LOAD, group.id(), group.fence(),
-				group.model() + "@" + group.version(),
-				group.members().stream().map((vm) -> configuration.vms().get(vm)).map(Inventory.Vm::address).toList()));
+		List<Address> members = group.members()
+			.stream()
+			.map((member) -> configuration.vms().get(member).address())
+			.toList();
+		order(vm, new EngineOrder(EngineOrder.LOAD, group.id(), group.fence(), group.modelName(), members));
+	}
+
+	private String modelOf(Inventory.Vm vm) {
+		Inventory.Pool pool = this.node.configuration().pools().get(vm.pool());
+		return (pool != null && pool.kind() == PoolKind.MODEL) ? pool.modelName() : "";
 	}
 
 	private CompletableFuture<Void> order(Inventory.Vm vm, EngineOrder order) {
--- a/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/version/GroupPlanner.java
+++ b/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/version/GroupPlanner.java
@@ -32,9 +32,6 @@
 	/** How long a member may be silent before it counts as lost, in milliseconds. */
 	public static final long LOST_MILLIS = 3000;
 
-	/** How long a group without a spare waits for a lost member, in milliseconds. */
-	public static final long DISSOLVE_MILLIS = 30_000;
-
 	/**
 	 * How long a VM whose engine ignores fencing numbers stays out of groups after its
 	 * release, in milliseconds: the controller's lease and the longest order.
@@ -158,6 +155,9 @@
 			.filter((group) -> group.members().stream().anyMatch(this::lost))
 			.toList();
 		for (GroupTable.Group group : broken) {
+			if (!this.groups.contains(group)) {
+				continue;
+			}
 			if (policy.replacesMembers() || group.members().stream().anyMatch(this::goneForGood)) {
 				replaceLost(group, pool, policy);
 			}
@@ -176,15 +176,41 @@
 			lost.forEach((vm) -> this.releasing.add(new GroupTable.Release(vm, this.lastFence, this.nowMillis)));
 			add(new GroupTable.Group(group.id(), pool.id(), pool.model(), pool.version(), this.lastFence, members));
 		}
-		else if (takeBackLent(pool)) {
-			return;
+		else if (!takeBackLent(pool)) {
+			dissolveForOthers(group, pool, lost.size());
 		}
-		else if (lost.stream().anyMatch(this::hopeless)) {
-			this.groups.remove(group);
-			dissolve(group, "lost " + lost + " and no VM replaces them");
+	}
+
+	/**
+	 * Dissolves a broken group when its survivors can repair another broken one. The sum
+	 * of both groups' downtime gets shorter: one is whole at once, and the other waits
+	 * for the later of the lost members instead of the earlier.
+	 * @param group a broken group that no free VM repairs
+	 * @param pool its pool
+	 * @param missing how many members it has lost
+	 */
+	private void dissolveForOthers(GroupTable.Group group, Inventory.Pool pool, int missing) {
+		Optional<GroupTable.Group> donor = this.groups.stream()
+			.filter((other) -> !other.equals(group) && other.pool().equals(pool.id()))
+			.filter((other) -> other.members().stream().anyMatch(this::lost))
+			.filter((other) -> survivorsOf(other) >= missing)
+			.min(Comparator.comparingLong(this::survivorsOf));
+		boolean coming = this.releasing.stream().anyMatch((release) -> comingFree(release, pool));
+		if (donor.isPresent() && !coming) {
+			this.groups.remove(donor.get());
+			dissolve(donor.get(), "its survivors repair " + group.id());
 		}
 	}
 
+	private long survivorsOf(GroupTable.Group group) {
+		return group.members().stream().filter((vm) -> !lost(vm)).count();
+	}
+
+	private boolean comingFree(GroupTable.Release release, Inventory.Pool pool) {
+		VmView view = this.views.get(release.vm());
+		return view != null && view.vm().pool().equals(pool.id()) && view.usable();
+	}
+
 	/**
 	 * Dissolves a group that uses VMs of a pool whose owner needs them.
 	 * @param owner the pool that owns the VMs
@@ -229,10 +255,6 @@
 		return view == null || view.destroyed() || view.leaving();
 	}
 
-	private boolean hopeless(String vm) {
-		return goneForGood(vm) || this.views.get(vm).missingMillis() > DISSOLVE_MILLIS;
-	}
-
 	private void form(Inventory.Pool pool) {
 		GroupPolicy policy = this.configuration.rules().groupPolicy();
 		List<VmView> free = new ArrayList<>(freeVms(pool));
--- a/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/version/VmView.java
+++ b/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/version/VmView.java
@@ -36,6 +36,15 @@
 		return this.destroyed || this.status.filter((said) -> said.group().isEmpty()).isPresent();
 	}
 
+	/**
+	 * Tells whether the endpoint has a model's weights in memory.
+	 * @param modelName the model and version
+	 * @return {@code true} if joining a group takes no load from the weight store
+	 */
+	public boolean holds(String modelName) {
+		return this.status.filter((said) -> said.model().equals(modelName)).isPresent();
+	}
+
 	/**
 	 * Tells whether the endpoint has been ordered into a group as it should be.
 	 * @param group the group
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EngineOrder.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EngineOrder.java
@@ -6,7 +6,7 @@
  * An order to a model engine, sent as {@code POST /orders}.
  *
  * @author monsoonvalve maintainers
- * @param order {@code load} or {@code unload}
+ * @param order {@code load}, {@code hold} or {@code unload}
  * @param group the replica group
  * @param fence the fencing number; engines that honour it refuse lower ones
  * @param model the model and version to load
@@ -17,6 +17,9 @@
 	/** Orders an engine to load a model and join a group. */
 	public static final String LOAD = "load";
 
+	/** Orders an engine to leave its group and to hold, or load, the model's weights. */
+	public static final String HOLD = "hold";
+
 	/** Orders an engine to leave its group and free its memory. */
 	public static final String UNLOAD = "unload";
 
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/IncomingCall.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/IncomingCall.java
@@ -4,8 +4,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.http.io.NIOOutputStream;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
@@ -21,6 +24,11 @@
  */
 public final class IncomingCall {
 
+	private static final AtomicLong LAST_NUMBER = new AtomicLong();
+
+	private static final Attribute<Long> NUMBER = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
+		.createAttribute(IncomingCall.class.getName(), LAST_NUMBER::incrementAndGet);
+
 	private static final String RETRY_AFTER_SECONDS = "1";
 
 	private final Request request;
@@ -84,7 +92,7 @@
 	 * @return the connection's number, unique in this process
 	 */
 	public long connectionNumber() {
-		return System.identityHashCode(this.request.getContext().getConnection());
+		return NUMBER.get(this.request.getContext().getConnection());
 	}
 
 	/**
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/DocumentValidator.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/DocumentValidator.java
@@ -86,6 +86,7 @@
 		require(pool.maxConcurrent() >= pool.coldSlots(), path + ".maxConcurrent", "no less than coldSlots is needed");
 		require(pool.vmsPerGroup() >= 1 && pool.vmsPerGroup() <= MAX_VMS_PER_GROUP, path + ".vmsPerGroup",
 				"1 to " + MAX_VMS_PER_GROUP + " is needed");
+		require(pool.maxLoads() >= 0, path + ".maxLoads", "0 or more is needed");
 		if (pool.kind() == PoolKind.MODEL) {
 			require(pool.model() != null && !pool.model().isBlank(), path + ".model", "a model's name is needed");
 			require(pool.version() != null && !pool.version().isBlank(), path + ".version", "a version is needed");
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/GroupPolicy.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/GroupPolicy.java
@@ -76,6 +76,15 @@
 		return this.replacesMembers;
 	}
 
+	/**
+	 * Tells whether VMs outside groups hold the weights, and which loads go first.
+	 * @return {@code true} if VMs without a group load weights ahead of their use, and
+	 * loads that complete a group go before others
+	 */
+	public boolean loadsAhead() {
+		return this.replacesMembers;
+	}
+
 	/**
 	 * Tells whether all members of a group must share a fabric domain.
 	 * @return {@code false} if a group may span fabric domains when no domain has enough
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/GroupTable.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/GroupTable.java
@@ -97,6 +97,14 @@
 			members = List.copyOf(members);
 		}
 
+		/**
+		 * Names the model and version as engines do.
+		 * @return the name
+		 */
+		public String modelName() {
+			return this.model + "@" + this.version;
+		}
+
 		/**
 		 * Returns the member that takes requests.
 		 * @return the first member
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/Inventory.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/Inventory.java
@@ -88,9 +88,19 @@
 	 * @param coldSlots how many requests an endpoint that has just started can bear at
 	 * once, summed over all entries
 	 * @param maxConcurrent how many requests a warm endpoint or group takes at once
+	 * @param maxLoads how many VMs of an availability zone load weights at once, 0 for
+	 * any number
 	 */
 	public record Pool(String id, PoolKind kind, String model, String version, int vmsPerGroup, int coldSlots,
-			int maxConcurrent) {
+			int maxConcurrent, int maxLoads) {
+
+		/**
+		 * Names the model and version as engines do.
+		 * @return the name
+		 */
+		public String modelName() {
+			return this.model + "@" + this.version;
+		}
 
 	}
 
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/Preparer.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/Preparer.java
@@ -166,22 +166,13 @@
 
 	private static void checkGroup(GroupTable.Group group, Inventory.Vm vm, EndpointStatus status) {
 		boolean member = group.id().equals(status.group()) && group.fence() == status.fence();
-		boolean loaded = modelOf(group).equals(status.model());
+		boolean loaded = group.modelName().equals(status.model());
 		if (!member || !loaded || !status.groupComplete()) {
 			throw new ServingException(FailureCode.UNREACHABLE,
 					vm.id() + " does not confirm that group " + group.id() + " is complete");
 		}
 	}
 
-	/**
-	 * Names a group's model and version as endpoints do.
-	 * @param group the group
-	 * @return the model and version
-	 */
-	private static String modelOf(GroupTable.Group group) {
-		return group.model() + "@" + group.version();
-	}
-
 	private record Slotted(Endpoint.Checked checked, Optional<Slots.Slot> slot) {
 
 	}
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/Cluster.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/Cluster.java
@@ -224,9 +224,9 @@
 					.toList(),
 				this.vms,
 				List.of(new Inventory.Pool(MODEL_POOL, PoolKind.MODEL, MODEL_POOL, "1", this.spec.vmsPerGroup(),
-						COLD_SLOTS, this.spec.maxConcurrent()),
+						COLD_SLOTS, this.spec.maxConcurrent(), 0),
 						new Inventory.Pool(SERVICE_POOL, PoolKind.SERVICE, null, null, 1, COLD_SLOTS,
-								this.spec.maxConcurrent())));
+								this.spec.maxConcurrent(), 0)));
 	}
 
 	private Rules rules() {
--- a/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/request/LedgerEntry.java
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/request/LedgerEntry.java
@@ -16,14 +16,16 @@
  * @param cold whether the endpoint was cold
  * @param concurrent how many requests ran, this one included; for a cold endpoint those
  * begun while it was cold
+ * @param toldCold how many of them began although the endpoint had not said on their
+ * connection, a moment before, that it was warm
  * @param group the replica group, empty for plain services
  * @param fence the fencing number in force
  * @param complete whether the endpoint heard all members of its group
  * @param path the request's method and path
  */
 public record LedgerEntry(long timeMillis, String kind, String requestId, String idempotencyKey, String clientId,
-		String vm, String zone, String bootId, boolean cold, int concurrent, String group, long fence, boolean complete,
-		String path) {
+		String vm, String zone, String bootId, boolean cold, int concurrent, int toldCold, String group, long fence,
+		boolean complete, String path) {
 
 	/** What an entry's line on standard output begins with. */
 	public static final String LINE_PREFIX = "LEDGER ";
