--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EtcdPlatformStore.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EtcdPlatformStore.java
@@ -126,7 +126,7 @@
 
 	private CompletableFuture<JsonNode> call(String path, ObjectNode content) {
 		HttpCall call = HttpCall.json("POST", path, content).withHeader("User-Agent", this.userAgent);
-		return this.client.once(this.address, call, this.timeoutMillis, MAX_ANSWER_BYTES).handle(this::answerOf);
+		return this.client.pooled(this.address, call, this.timeoutMillis, MAX_ANSWER_BYTES).handle(this::answerOf);
 	}
 
 	private JsonNode answerOf(HttpReply reply, Throwable failure) {
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +37,12 @@
 	private static final Attribute<HttpConnection> CONNECTION = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
 		.createAttribute(HttpClient.class.getName());
 
+	private static final int MAX_KEPT = 4;
+
+	private static final ConcurrentLinkedDeque<HttpConnection> NONE = new ConcurrentLinkedDeque<>();
+
+	private final ConcurrentMap<Address, ConcurrentLinkedDeque<HttpConnection>> kept = new ConcurrentHashMap<>();
+
 	private final TCPNIOTransport transport;
 
 	private final ScheduledExecutorService timer;
@@ -133,6 +142,42 @@
 			.whenComplete((reply, failure) -> connection.close()));
 	}
 
+	/**
+	 * Sends one request on an idle connection that an earlier call left, or on a new one,
+	 * and keeps the connection for later calls. A request whose connection ends without
+	 * an answer is not sent again.
+	 * @param address the address
+	 * @param call the request
+	 * @param timeoutMillis the longest time for the exchange, in milliseconds
+	 * @param limitBytes the largest content, in bytes
+	 * @return the response, or a {@link ServingException}
+	 */
+	public CompletableFuture<HttpReply> pooled(Address address, HttpCall call, long timeoutMillis, int limitBytes) {
+		HttpConnection idle = this.kept.getOrDefault(address, NONE).pollFirst();
+		if (idle == null || !idle.idle()) {
+			return connect(address).thenCompose((connection) -> keep(connection, call, timeoutMillis, limitBytes));
+		}
+		return keep(idle, call, timeoutMillis, limitBytes);
+	}
+
+	private CompletableFuture<HttpReply> keep(HttpConnection connection, HttpCall call, long timeoutMillis,
+			int limitBytes) {
+		return connection.exchange(call, timeoutMillis, limitBytes).whenComplete((reply, failure) -> {
+			if (failure != null) {
+				connection.close();
+				return;
+			}
+			ConcurrentLinkedDeque<HttpConnection> stack = this.kept.computeIfAbsent(connection.address(),
+					(absent) -> new ConcurrentLinkedDeque<>());
+			if (stack.size() < MAX_KEPT && connection.idle()) {
+				stack.addFirst(connection);
+			}
+			else {
+				connection.close();
+			}
+		});
+	}
+
 	/**
 	 * Returns the counter of bytes.
 	 * @return the traffic of all connections
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 
@@ -11,7 +12,7 @@
  *
  * @author monsoonvalve maintainers
  */
-@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
 @JsonSubTypes({ @JsonSubTypes.Type(value = PeerFrame.Gossip.class, name = "g"),
 		@JsonSubTypes.Type(value = PeerFrame.GossipReply.class, name = "r"),
 		@JsonSubTypes.Type(value = PeerFrame.Push.class, name = "p"),
@@ -29,6 +30,7 @@
 	 * @param members some of the members that the sender knows
 	 * @param leaving VMs that the platform's VM list lately named as leaving
 	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record Gossip(Member self, Map<String, Long> digest, List<Member> members,
 			List<LeavingVm> leaving) implements PeerFrame {
 
@@ -43,6 +45,7 @@
 	 * @param members some of the members that it knows
 	 * @param leaving VMs that the platform's VM list lately named as leaving
 	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record GossipReply(Member self, Map<String, Long> digest, List<Document> documents, List<Member> members,
 			List<LeavingVm> leaving) implements PeerFrame {
 
@@ -53,6 +56,7 @@
 	 *
 	 * @param documents the documents
 	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record Push(List<Document> documents) implements PeerFrame {
 
 	}
@@ -66,6 +70,7 @@
 	 * @param uptimeMillis how long that incarnation has run, in milliseconds
 	 * @param capacity how many requests the endpoint can bear at once
 	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record SlotRequest(String requester, String vm, String bootId, long uptimeMillis,
 			int capacity) implements PeerFrame {
 
@@ -85,6 +90,7 @@
 	 *
 	 * @param slotId the slot, or an empty string if none was issued
 	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record SlotReply(String slotId) implements PeerFrame {
 
 	}
@@ -94,6 +100,7 @@
 	 *
 	 * @param slotId the slot
 	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record SlotRelease(String slotId) implements PeerFrame {
 
 	}
@@ -101,6 +108,7 @@
 	/**
 	 * Acknowledges a message that has no other answer.
 	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record Done() implements PeerFrame {
 
 	}
@@ -112,6 +120,7 @@
 	 * @param revision the platform's revision
 	 * @param bytes the stored value
 	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record Document(String path, long revision, byte[] bytes) {
 
 	}
@@ -122,6 +131,7 @@
 	 * @param vm the VM's name
 	 * @param ageMillis how long ago the list was read, in milliseconds
 	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record LeavingVm(String vm, long ageMillis) {
 
 	}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -209,6 +210,7 @@
 	 * @param reply whether the frame answers another one
 	 * @param frame the frame
 	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record Envelope(long number, boolean reply, PeerFrame frame) {
 
 	}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/VmList.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/VmList.java
@@ -49,7 +49,7 @@
 	 */
 	public CompletableFuture<Content> read() {
 		HttpCall call = HttpCall.get("/v1/vms").withHeader("User-Agent", this.userAgent);
-		return this.client.once(this.address, call, this.timeoutMillis, MAX_ANSWER_BYTES).thenApply((reply) -> {
+		return this.client.pooled(this.address, call, this.timeoutMillis, MAX_ANSWER_BYTES).thenApply((reply) -> {
 			if (!reply.successful()) {
 				throw new ServingException(FailureCode.PLATFORM_UNAVAILABLE,
 						"the VM list answered with status " + reply.status());
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/Codec.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/Codec.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import org.monsoonvalve.core.connection.Member;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -32,6 +34,9 @@
 
 	Codec(ObjectMapper mapper) {
 		this.mapper = mapper;
+		if ("MESSAGE_PACK".equals(name())) {
+			mapper.addMixIn(Member.class, AsArray.class);
+		}
 		if (!"YAML".equals(name())) {
 			mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 		}
@@ -97,4 +102,12 @@
 		return this.mapper.valueToTree(value);
 	}
 
+	/**
+	 * Drops the field names of a value.
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	private interface AsArray {
+
+	}
+
 }
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/Membership.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/Membership.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.Member;
@@ -85,6 +86,21 @@
 		return all.subList(0, Math.min(count, all.size()));
 	}
 
+	/**
+	 * Picks some live members at random, most of them from one availability zone.
+	 * @param zone the availability zone
+	 * @param inZone how many of it at most
+	 * @param elsewhere how many of other availability zones at most
+	 * @param random the source of chance
+	 * @return the members
+	 */
+	public List<Member> sampleByZone(String zone, int inZone, int elsewhere, RandomGenerator random) {
+		List<Member> all = sample(Integer.MAX_VALUE, random);
+		Stream<Member> near = all.stream().filter((member) -> member.zone().equals(zone)).limit(inZone);
+		Stream<Member> far = all.stream().filter((member) -> !member.zone().equals(zone)).limit(elsewhere);
+		return Stream.concat(near, far).toList();
+	}
+
 	/**
 	 * Finds the process that issues the cold-start slots of an availability zone.
 	 * @param zone the availability zone
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/Node.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/Node.java
@@ -33,7 +33,7 @@
 
 	private static final long ROUND_TIMEOUT_MILLIS = 800;
 
-	private static final long GOSSIP_PERIOD_MILLIS = 500;
+	private static final long GOSSIP_PERIOD_MILLIS = 1000;
 
 	private static final long READER_PERIOD_MILLIS = 500;
 
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/PeerExchange.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/PeerExchange.java
@@ -30,13 +30,15 @@
 
 	private static final long PEER_TIMEOUT_MILLIS = 1000;
 
-	private static final int GOSSIP_FANOUT = 2;
+	private static final int GOSSIP_FANOUT = 1;
 
 	private static final int PUSH_FANOUT = 4;
 
 	private static final int URGENT_FANOUT = 8;
 
-	private static final int MEMBERS_PER_GOSSIP = 8;
+	private static final int OWN_ZONE_MEMBERS_PER_GOSSIP = 6;
+
+	private static final int OTHER_MEMBERS_PER_GOSSIP = 2;
 
 	private final EventLog log = EventLog.of(PeerExchange.class);
 
@@ -192,7 +194,8 @@
 	}
 
 	private List<Member> someMembers() {
-		return this.membership.sample(MEMBERS_PER_GOSSIP, ThreadLocalRandom.current());
+		return this.membership.sampleByZone(this.settings.zone(), OWN_ZONE_MEMBERS_PER_GOSSIP, OTHER_MEMBERS_PER_GOSSIP,
+				ThreadLocalRandom.current());
 	}
 
 	private void learn(Member peer, List<Member> others, List<PeerFrame.LeavingVm> leaving) {
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/request/FailureCode.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/request/FailureCode.java
@@ -65,6 +65,9 @@
 	/** The endpoint sent more than the size limit. */
 	ANSWER_TOO_LARGE(502, RunState.RAN, false),
 
+	/** The engine did not accept the request. */
+	ENDPOINT_REFUSED(422, RunState.UNKNOWN, false),
+
 	/** A setting with a bad value. */
 	INVALID_SETTING(400, RunState.NOT_RUN, false),
 
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/DocumentKey.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/DocumentKey.java
@@ -28,6 +28,14 @@
 		return new DocumentKey(GROUPS + zone);
 	}
 
+	/**
+	 * Returns the path without the prefix that all documents share.
+	 * @return the short path
+	 */
+	public String shortPath() {
+		return this.path.startsWith(PREFIX) ? this.path.substring(PREFIX.length()) : this.path;
+	}
+
 	/**
 	 * Tells whether this document is one of replica groups.
 	 * @return {@code true} for the groups of an availability zone
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/DocumentStore.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/DocumentStore.java
@@ -98,7 +98,7 @@
 	 */
 	public Digest digest() {
 		return new Digest(all().stream()
-			.collect(Collectors.toMap((document) -> document.key().path(), VersionedDocument::revision)));
+			.collect(Collectors.toMap((document) -> document.key().shortPath(), VersionedDocument::revision)));
 	}
 
 	/**
@@ -113,7 +113,7 @@
 	/**
 	 * Summarises the revisions that a process keeps.
 	 *
-	 * @param revisions the revisions by document path
+	 * @param revisions the revisions by document path without the common prefix
 	 */
 	public record Digest(Map<String, Long> revisions) {
 
@@ -123,7 +123,7 @@
 		 * @return the revision, 0 if none is kept
 		 */
 		public long revision(DocumentKey key) {
-			return this.revisions.getOrDefault(key.path(), 0L);
+			return this.revisions.getOrDefault(key.shortPath(), 0L);
 		}
 
 	}
