--- a/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/ControllerMain.java
+++ b/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/ControllerMain.java
@@ -62,7 +62,7 @@
 		LeaseElection election = LeaseElection.of(node.platform(), node.clock(), "groups/" + settings.zone(),
 				settings.id());
 		GroupKeeper keeper = new GroupKeeper(node, election);
-		node.every("election", ELECTION_PERIOD_MILLIS, election::tick);
+		node.every("election", ELECTION_PERIOD_MILLIS, () -> election.tick(node.leaseCandidate()));
 		node.every("groups", PLAN_PERIOD_MILLIS, keeper::tick);
 		HttpFrontend frontend = HttpFrontend.start(settings.httpListen(), HttpLimits.defaults(),
 				ControllerMain::handle);
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
@@ -58,13 +58,14 @@
 
 	/**
 	 * Renews the lease, or tries to get it; to be called about once a second.
+	 * @param candidate whether this process tries to get a lease that it does not hold
 	 */
-	public void tick() {
+	public void tick(boolean candidate) {
 		Term held = this.term.get();
 		if (held != null && !renew(held)) {
 			this.term.compareAndSet(held, null);
 		}
-		if (this.term.get() == null) {
+		if (this.term.get() == null && candidate && vacant()) {
 			campaign();
 		}
 	}
@@ -111,6 +112,17 @@
 		}
 	}
 
+	private boolean vacant() {
+		try {
+			return await(this.platform.read(this.key, 0)).entries()
+				.stream()
+				.noneMatch((entry) -> entry.key().equals(this.key));
+		}
+		catch (ServingException ex) {
+			return false;
+		}
+	}
+
 	private void campaign() {
 		ElapsedClock.Reading start = this.clock.now();
 		long leaseId;
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/Node.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/Node.java
@@ -45,6 +45,8 @@
 
 	private static final long PAUSE_MILLIS = 1500;
 
+	private static final int LEASE_CANDIDATES = 3;
+
 	private static final int TASK_THREADS = 6;
 
 	private final EventLog log = EventLog.of(Node.class);
@@ -286,6 +288,21 @@
 		return this.settings;
 	}
 
+	/**
+	 * Tells whether this process tries to get the leases of its availability zone: only
+	 * the first few of its role do, so that the platform's load does not grow with the
+	 * fleet.
+	 * @return {@code true} if it is one of the first
+	 */
+	public boolean leaseCandidate() {
+		long before = this.membership.live()
+			.stream()
+			.filter((member) -> member.zone().equals(this.settings.zone()) && member.role().equals(this.role))
+			.filter((member) -> !member.leaving() && member.id().compareTo(this.settings.id().value()) < 0)
+			.count();
+		return before < LEASE_CANDIDATES;
+	}
+
 	/**
 	 * Tells peers that this process is shutting down.
 	 */
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
@@ -164,7 +164,7 @@
 		if (this.resigned.get()) {
 			return;
 		}
-		this.election.tick();
+		this.election.tick(this.node.leaseCandidate());
 		if (!this.election.held()) {
 			this.takenOver.set(null);
 			this.issuer.clear();
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ConfigurationSampler.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ConfigurationSampler.java
@@ -65,7 +65,7 @@
 	private void sample(ManagedProcess entry) {
 		long askedMillis = System.currentTimeMillis();
 		try {
-			JsonNode status = this.cluster.status(entry);
+			JsonNode status = this.cluster.admin().status(entry);
 			long startedMillis = 0;
 			for (JsonNode node : status.path("nodes")) {
 				if (node.path("id").asText().equals(entry.name())) {
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/OverheadBench.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/OverheadBench.java
@@ -56,7 +56,7 @@
 	}
 
 	private static List<Address> leaders(Cluster cluster, ManagedProcess entry) {
-		GroupTable[] tables = Codec.JSON.decode(Codec.JSON.encode(cluster.status(entry).path("groups")),
+		GroupTable[] tables = Codec.JSON.decode(Codec.JSON.encode(cluster.admin().status(entry).path("groups")),
 				GroupTable[].class);
 		return List.of(tables)
 			.stream()
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ScenarioRun.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ScenarioRun.java
@@ -177,11 +177,11 @@
 		if (target == null) {
 			return;
 		}
-		String text = text(edit.apply(this.cluster.currentRules()));
+		String text = text(edit.apply(this.cluster.admin().currentRules()));
 		if (kind == EventKind.ZONE_IN || kind == EventKind.VM_BACK) {
 			this.timeline.note(kind, target);
 		}
-		long revision = this.cluster.apply("rules", text);
+		long revision = this.cluster.admin().apply("rules", text);
 		this.timeline.note(EventKind.RULES_ACCEPTED, "rules", revision);
 		if (kind == EventKind.ZONE_OUT || kind == EventKind.VM_LEAVING) {
 			this.timeline.note(kind, target);
@@ -206,12 +206,12 @@
 			.stream()
 			.filter((entry) -> entry.running() && !this.cutZones.contains(entry.zone()))
 			.toList();
-		Rules base = this.cluster.currentRules();
-		long revision = this.cluster.revision(entries.get(0), "rules");
+		Rules base = this.cluster.admin().currentRules();
+		long revision = this.cluster.admin().revision(entries.get(0), "rules");
 		List<CompletableFuture<HttpReply>> sent = IntStream.range(0, race.operators())
-			.mapToObj((operator) -> CompletableFuture
-				.supplyAsync(() -> this.cluster.put(entries.get(operator % entries.size()), "rules",
-						"# operator " + operator + "\n" + text(base), revision, UUID.randomUUID().toString())))
+			.mapToObj((operator) -> CompletableFuture.supplyAsync(() -> this.cluster.admin()
+				.put(entries.get(operator % entries.size()), "rules", "# operator " + operator + "\n" + text(base),
+						revision, UUID.randomUUID().toString())))
 			.toList();
 		List<HttpReply> replies = sent.stream().map(CompletableFuture::join).toList();
 		List<HttpReply> accepted = replies.stream().filter(HttpReply::successful).toList();
