Changes travel once and packed

Cause: with 8 entries two changes a second cost each entry 36699 bytes a second with peers, 17.3 KB a change: every process pushed the whole document to four or eight peers, most of which had it.

Ruled out: waiting for the regular comparison (a change would need several seconds with the platform down).

Change: news leads to comparisons, which hand the document only to those that lack it, and documents travel packed.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/PeerExchange.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/PeerExchange.java
@@ -21,8 +21,8 @@
 
 /**
  * Compares documents with peers, passes new ones on, and learns which processes live. A
- * new document is pushed to a few peers at once, which push it on; regular comparisons
- * find what a push missed.
+ * new document leads to comparisons with a few peers at once, which hand it to those that
+ * lack it; regular comparisons find what these missed.
  *
  * @author monsoonvalve maintainers
  */
@@ -138,8 +138,8 @@
 	 * @param document the document
 	 */
 	public void accept(VersionedDocument document) {
-		if (this.documents.offer(document)) {
-			spread(List.of(document), URGENT_FANOUT);
+		if (this.documents.offer(document) && Mechanism.PEER_DOCUMENTS.on()) {
+			gossipUrgently();
 		}
 	}
 
@@ -207,11 +207,11 @@
 	private void offerAll(List<PeerFrame.Document> received) {
 		List<VersionedDocument> fresh = received.stream()
 			.map((document) -> new VersionedDocument(new DocumentKey(document.path()), document.revision(),
-					document.bytes()))
+					Compression.unpack(document.bytes())))
 			.filter(this.documents::offer)
 			.toList();
 		if (!fresh.isEmpty()) {
-			spread(fresh, PUSH_FANOUT);
+			targets(PUSH_FANOUT).forEach(this::gossipWith);
 		}
 	}
 
@@ -226,20 +226,14 @@
 		}
 	}
 
-	private void spread(List<VersionedDocument> fresh, int fanout) {
-		if (Mechanism.PEER_DOCUMENTS.on()) {
-			this.membership.sample(fanout, ThreadLocalRandom.current())
-				.forEach((member) -> push(member.peerAddress(), fresh));
-		}
-	}
-
 	private void push(Address address, List<VersionedDocument> fresh) {
 		this.transport.ask(address, new PeerFrame.Push(frames(fresh)), PEER_TIMEOUT_MILLIS);
 	}
 
 	private static List<PeerFrame.Document> frames(List<VersionedDocument> fresh) {
 		return fresh.stream()
-			.map((document) -> new PeerFrame.Document(document.key().path(), document.revision(), document.bytes()))
+			.map((document) -> new PeerFrame.Document(document.key().path(), document.revision(),
+					Compression.pack(document.bytes())))
 			.toList();
 	}
 
--- /dev/null
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/CompressionTests.java
@@ -0,0 +1,26 @@
+package org.monsoonvalve.core.process;
+
+import java.nio.charset.StandardCharsets;
+
+import org.monsoonvalve.core.request.FailureCode;
+import org.monsoonvalve.core.request.ServingException;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+public class CompressionTests {
+
+	@Test
+	public void anInventoryGetsMuchSmallerAndComesBackWhole() {
+		byte[] plain = "  - {id: kano-a-engine-1, pool: grass-llm}\n".repeat(600).getBytes(StandardCharsets.UTF_8);
+		byte[] packed = Compression.pack(plain);
+		Assert.assertTrue(packed.length * 10 < plain.length);
+		Assert.assertEquals(Compression.unpack(packed), plain);
+	}
+
+	@Test
+	public void whatIsNotPackedIsRefused() {
+		ServingException failure = Assert.expectThrows(ServingException.class, () -> Compression.unpack(new byte[20]));
+		Assert.assertEquals(failure.code(), FailureCode.MALFORMED_CONTENT);
+	}
+
+}
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/BenchMain.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/BenchMain.java
@@ -1,5 +1,7 @@
 package org.monsoonvalve.scenarios.process;
 
+import java.util.List;
+
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -36,6 +38,10 @@
 		overhead.addArgument("--token-millis").type(Integer.class).setDefault(65).help("time between tokens, in ms");
 		Subparser control = benches.addParser("control").help("control cost by entries, endpoints and changes");
 		control.addArgument("--seconds").type(Double.class).setDefault(12.0).help("length of each part, in seconds");
+		control.addArgument("--size")
+			.nargs("+")
+			.setDefault(List.of("2,8,0", "8,8,0", "16,8,0", "8,32,0", "8,8,2"))
+			.help("sizes to measure: entries, endpoints and changes a second, separated by commas");
 		Subparser policy = benches.addParser("policy").help("group policies on the same seeded events");
 		policy.addArgument("--seeds").type(Integer.class).setDefault(20).help("how many seeds");
 		policy.addArgument("--days").type(Integer.class).setDefault(10).help("length of each run, in days");
@@ -44,7 +50,7 @@
 		switch (parsed.getString("bench")) {
 			case "overhead" -> OverheadBench.run(parsed.getDouble("per_second"), parsed.getDouble("seconds"),
 					parsed.getInt("tokens"), parsed.getInt("token_millis"));
-			case "control" -> ControlBench.run(parsed.getDouble("seconds"));
+			case "control" -> ControlBench.run(parsed.getDouble("seconds"), parsed.getList("size"));
 			default -> PolicyBench.run(parsed.getInt("seeds"), parsed.getInt("days"), parsed.getInt("vms"));
 		}
 		System.exit(0);
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ControlBench.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ControlBench.java
@@ -25,14 +25,13 @@
 	private ControlBench() {
 	}
 
-	static void run(double seconds) {
+	static void run(double seconds, List<String> sizes) {
 		System.out.println("entries endpoints changes/s | per entry: cpu% heapMB peerB/s httpB/s frames/s"
 				+ " | platform: reads/s writes/s vm-lists/s | controller cpu%");
-		for (int entries : new int[] { 2, 8, 16 }) {
-			measure(entries, 8, 0, seconds);
+		for (String size : sizes) {
+			String[] parts = size.split(",");
+			measure(Integer.parseInt(parts[0]), Integer.parseInt(parts[1]), Double.parseDouble(parts[2]), seconds);
 		}
-		measure(8, 32, 0, seconds);
-		measure(8, 8, 2, seconds);
 	}
 
 	private static void measure(int entries, int endpoints, double changesPerSecond, double seconds) {
