Slots named by who asks, one try for a slot at a time, and no "not run" after sending

The trace shows statuses silent for 500 ms and a plain service with one run in 14 s: about a hundred waiting requests on each entry asked every cold endpoint every 50 ms, answers of the slot issuer came late, and a slot whose answer was late stayed issued for 30 s. In the same script a read that had run and was lost was refused as not run, because its second search found no endpoint.

Ruled out: more slots (the endpoint takes no more); a longer wait for the issuer (the storm grows with it).

Change: the asking entry names the slot and gives it back when the answer is late; on each entry one request at a time tries for a slot of an endpoint, others wait without traffic; waiting requests search less often and out of step. A failure after sending never says not-run. Words of the field in place of ours; clocks in place of the system's time.

--- a/monsoonvalve-burn/src/main/java/org/monsoonvalve/burn/process/BurnMain.java
+++ b/monsoonvalve-burn/src/main/java/org/monsoonvalve/burn/process/BurnMain.java
@@ -1,5 +1,6 @@
 package org.monsoonvalve.burn.process;
 
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -72,7 +73,7 @@
 				}
 			}
 		}
-		return BurnReport.of(series, unreachable, System.currentTimeMillis());
+		return BurnReport.of(series, unreachable, Clock.systemUTC().millis());
 	}
 
 }
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EndpointStatus.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EndpointStatus.java
@@ -6,7 +6,7 @@
  * @author monsoonvalve maintainers
  * @param bootId its incarnation, new at every start
  * @param uptimeMillis how long this incarnation has run, in milliseconds
- * @param warm whether it can bear full load
+ * @param warm whether it can take full load
  * @param leaving whether it wants no new work
  * @param group the replica group that it was ordered into, empty if none
  * @param fence the fencing number of the last order that it obeyed
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
@@ -64,14 +64,16 @@
 	/**
 	 * Asks the issuer for a cold-start slot.
 	 *
+	 * @param slotId the slot's identifier, chosen by the asking process, so that it can
+	 * give the slot back when the answer is late
 	 * @param requester the asking process
 	 * @param vm the endpoint's VM
 	 * @param bootId the endpoint's incarnation
 	 * @param uptimeMillis how long that incarnation has run, in milliseconds
-	 * @param capacity how many requests the endpoint can bear at once
+	 * @param capacity how many requests the endpoint takes at once
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-	record SlotRequest(String requester, String vm, String bootId, long uptimeMillis,
+	record SlotRequest(String slotId, String requester, String vm, String bootId, long uptimeMillis,
 			int capacity) implements PeerFrame {
 
 		/**
@@ -80,7 +82,7 @@
 		 * @return the changed request
 		 */
 		public SlotRequest withCapacity(int other) {
-			return new SlotRequest(this.requester, this.vm, this.bootId, this.uptimeMillis, other);
+			return new SlotRequest(this.slotId, this.requester, this.vm, this.bootId, this.uptimeMillis, other);
 		}
 
 	}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/request/ServingException.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/request/ServingException.java
@@ -38,6 +38,17 @@
 		return this.code;
 	}
 
+	/**
+	 * Returns what to tell the caller of a request that was sent before this failure: it
+	 * may have run, whatever a later attempt met.
+	 * @return this failure, or one with {@link FailureCode#ENDPOINT_LOST} in place of one
+	 * that says that the request did not run
+	 */
+	public ServingException afterSending() {
+		return (this.code.run() != RunState.NOT_RUN) ? this : new ServingException(FailureCode.ENDPOINT_LOST,
+				"an earlier attempt was sent and lost; then: " + getMessage(), this);
+	}
+
 	/**
 	 * Finds the failure behind any exception.
 	 * @param thrown the exception, possibly wrapped by a future
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/Inventory.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/version/Inventory.java
@@ -85,8 +85,8 @@
 	 * @param model the model that it carries, for pools of model engines
 	 * @param version the model's version
 	 * @param vmsPerGroup how many VMs one replica group spans, 1 for plain services
-	 * @param coldSlots how many requests an endpoint that has just started can bear at
-	 * once, summed over all entries
+	 * @param coldSlots how many requests an endpoint that has just started takes at once,
+	 * summed over all entries
 	 * @param maxConcurrent how many requests a warm endpoint or group takes at once
 	 * @param maxLoads how many VMs of an availability zone load weights at once, 0 for
 	 * any number
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Endpoint.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Endpoint.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -34,6 +35,8 @@
 
 	private static final long FIRST_PENALTY_MILLIS = 250;
 
+	private static final long REFUSED_MILLIS = 50;
+
 	private static final int MAX_PENALTY_DOUBLINGS = 5;
 
 	private final EventLog log = EventLog.of(Endpoint.class);
@@ -52,6 +55,10 @@
 
 	private final AtomicReference<Failures> failures = new AtomicReference<>();
 
+	private final AtomicReference<ElapsedClock.Reading> slotRefused = new AtomicReference<>();
+
+	private final AtomicBoolean coldTry = new AtomicBoolean();
+
 	private final AtomicInteger outstanding = new AtomicInteger();
 
 	private Endpoint(Inventory.Vm vm, HttpClient client, ElapsedClock clock) {
@@ -119,6 +126,36 @@
 		this.failures.set(null);
 	}
 
+	/**
+	 * Asks for the only turn of this process to try for a cold-start slot of the
+	 * endpoint. While one request tries, and for a moment after it was refused, others
+	 * need not reach the endpoint or the issuer.
+	 * @return {@code true} if the caller may try; {@link #endColdTry(boolean)} ends it
+	 */
+	public boolean beginColdTry() {
+		ElapsedClock.Reading refused = this.slotRefused.get();
+		boolean tooSoon = refused != null && this.clock.elapsedMillis(refused) < REFUSED_MILLIS;
+		return !tooSoon && this.coldTry.compareAndSet(false, true);
+	}
+
+	/**
+	 * Ends a try for a cold-start slot.
+	 * @param refused whether the endpoint had no free slot
+	 */
+	public void endColdTry(boolean refused) {
+		this.slotRefused.set(refused ? this.clock.now() : null);
+		this.coldTry.set(false);
+	}
+
+	/**
+	 * Tells whether the endpoint was cold when it was last asked.
+	 * @return {@code true} if a request needs a cold-start slot as far as is known
+	 */
+	public boolean knownCold() {
+		Observation known = this.last.get();
+		return known != null && !known.status().warm();
+	}
+
 	/**
 	 * Provides an observation that is recent enough, asking the endpoint if need be.
 	 * Callers that ask at the same time share one exchange.
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/SlotIssuer.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/SlotIssuer.java
@@ -3,16 +3,15 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.UUID;
 
 import org.monsoonvalve.core.connection.PeerFrame;
 import org.monsoonvalve.core.process.ElapsedClock;
 
 /**
  * Issues cold-start slots. One request may be sent to a cold endpoint for each slot, so
- * the sum over all entries stays within what the endpoint can bear. An issuer that took
- * over does not know what its predecessor issued; until those slots have expired it
- * issues only for endpoints that started after it took over.
+ * the sum over all entries stays within the endpoint's capacity. An issuer that took over
+ * does not know what its predecessor issued; until those slots have expired it issues
+ * only for endpoints that started after it took over.
  *
  * @author monsoonvalve maintainers
  */
@@ -41,7 +40,7 @@
 	}
 
 	/**
-	 * Issues a slot if the endpoint can bear one more request.
+	 * Issues a slot if the endpoint can take one more request.
 	 * @param request who asks for which endpoint
 	 * @param term this process's time as the issuer
 	 * @return the slot, if one was issued
@@ -65,7 +64,7 @@
 		if (incarnation.slots.size() >= request.capacity()) {
 			return Optional.empty();
 		}
-		String slot = UUID.randomUUID().toString();
+		String slot = request.slotId();
 		incarnation.slots.put(slot, this.clock.now());
 		this.vmBySlot.put(slot, request.vm());
 		return Optional.of(slot);
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -74,13 +75,14 @@
 	 * Asks for a slot.
 	 * @param vm the cold endpoint's VM
 	 * @param status what the endpoint said of itself
-	 * @param capacity how many requests a cold endpoint can bear at once
+	 * @param capacity how many requests a cold endpoint takes at once
 	 * @return the slot, empty if none is to be had
 	 */
 	public CompletableFuture<Optional<Slot>> obtain(Inventory.Vm vm, EndpointStatus status, int capacity) {
 		Optional<String> reserve = this.node.configuration().coldReserve(vm.availabilityZone());
-		PeerFrame.SlotRequest request = new PeerFrame.SlotRequest(this.node.settings().id().value(), vm.id(),
-				status.bootId(), status.uptimeMillis(), reserve.isPresent() ? capacity - 1 : capacity);
+		PeerFrame.SlotRequest request = new PeerFrame.SlotRequest(UUID.randomUUID().toString(),
+				this.node.settings().id().value(), vm.id(), status.bootId(), status.uptimeMillis(),
+				reserve.isPresent() ? capacity - 1 : capacity);
 		if (reserve.filter(this.node.settings().id().value()::equals).isPresent()) {
 			Optional<String> reserved = this.reserveIssuer.issue(request.withCapacity(1), this.reserveTerm.term());
 			if (reserved.isPresent()) {
@@ -99,7 +101,7 @@
 		return this.node.exchange()
 			.transport()
 			.ask(holder.get(), request, ISSUER_TIMEOUT_MILLIS)
-			.handle((answer, failure) -> remoteSlot(holder.get(), answer));
+			.handle((answer, failure) -> remoteSlot(holder.get(), request.slotId(), answer));
 	}
 
 	/**
@@ -133,12 +135,21 @@
 		return (clean ? markClean() : CompletableFuture.<Void>completedFuture(null)).thenRun(this.election::resign);
 	}
 
-	private Optional<Slot> remoteSlot(Address holder, PeerFrame answer) {
-		if (answer instanceof PeerFrame.SlotReply reply && !reply.slotId().isEmpty()) {
-			PeerFrame release = new PeerFrame.SlotRelease(reply.slotId());
-			return Optional.of(new Slot(reply.slotId(),
-					() -> this.node.exchange().transport().ask(holder, release, ISSUER_TIMEOUT_MILLIS)));
+	/**
+	 * Takes the issuer's answer; when there is none, gives back what the issuer may have
+	 * issued.
+	 * @param holder the issuer
+	 * @param slotId the slot that was asked for
+	 * @param answer the answer, {@code null} without one
+	 * @return the slot, if it was issued
+	 */
+	private Optional<Slot> remoteSlot(Address holder, String slotId, PeerFrame answer) {
+		PeerFrame release = new PeerFrame.SlotRelease(slotId);
+		Runnable giveBack = () -> this.node.exchange().transport().ask(holder, release, ISSUER_TIMEOUT_MILLIS);
+		if (answer instanceof PeerFrame.SlotReply reply) {
+			return reply.slotId().isEmpty() ? Optional.empty() : Optional.of(new Slot(slotId, giveBack));
 		}
+		giveBack.run();
 		return Optional.empty();
 	}
 
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/Preparer.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/Preparer.java
@@ -80,7 +80,19 @@
 	 * {@code not-run}
 	 */
 	public CompletableFuture<Prepared> prepare(Target target) {
-		return followersReady(target).thenCompose((evidence) -> leaderReady(target, evidence));
+		Endpoint leader = this.endpoints.get(target.leader());
+		if (!leader.knownCold() || !Mechanism.COLD_SLOTS.on()) {
+			return followersReady(target).thenCompose((evidence) -> leaderReady(target, evidence));
+		}
+		if (!leader.beginColdTry()) {
+			return CompletableFuture.failedFuture(noSlot(target));
+		}
+		return followersReady(target).thenCompose((evidence) -> leaderReady(target, evidence))
+			.whenComplete((prepared, failure) -> leader.endColdTry(failure != null));
+	}
+
+	private static ServingException noSlot(Target target) {
+		return new ServingException(FailureCode.NO_CAPACITY, target.id() + " is cold and has no free cold-start slot");
 	}
 
 	private CompletableFuture<List<Endpoint.Observation>> followersReady(Target target) {
@@ -131,8 +143,7 @@
 		return this.slots.obtain(target.leader(), status, target.pool().coldSlots()).thenCompose((slot) -> {
 			if (slot.isEmpty()) {
 				leader.release(checked.connection());
-				return CompletableFuture.failedFuture(new ServingException(FailureCode.NO_CAPACITY,
-						target.id() + " has just started and can bear no more requests yet"));
+				return CompletableFuture.failedFuture(noSlot(target));
 			}
 			return recheck(leader, checked, slot.get());
 		});
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/RequestContext.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/RequestContext.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import org.monsoonvalve.core.process.ElapsedClock;
@@ -22,6 +23,8 @@
 
 	private static final long SEARCH_PAUSE_MILLIS = 50;
 
+	private static final long MAX_SEARCH_PAUSE_MILLIS = 250;
+
 	private final RequestEnvironment environment;
 
 	private final Rules.Workspace workspace;
@@ -136,10 +139,22 @@
 		this.environment.node()
 			.http()
 			.timer()
-			.schedule(() -> paused.completeAsync(() -> null), SEARCH_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+			.schedule(() -> paused.completeAsync(() -> null), pauseMillis(since), TimeUnit.MILLISECONDS);
 		return paused.thenCompose((done) -> findTarget(since));
 	}
 
+	/**
+	 * Lengthens the pause with the time already spent, and spreads it, so that many
+	 * waiting requests do not search in step.
+	 * @param since when the search began
+	 * @return the pause in milliseconds
+	 */
+	private long pauseMillis(ElapsedClock.Reading since) {
+		long spentMillis = this.environment.node().clock().elapsedMillis(since);
+		long longest = Math.min(MAX_SEARCH_PAUSE_MILLIS, SEARCH_PAUSE_MILLIS + spentMillis / 4);
+		return ThreadLocalRandom.current().nextLong(SEARCH_PAUSE_MILLIS / 2, longest + 1);
+	}
+
 	private CompletableFuture<Prepared> tryEach(List<Target> targets, int index, Throwable lastFailure) {
 		if (index >= targets.size()) {
 			return CompletableFuture
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/ServiceCall.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/ServiceCall.java
@@ -46,7 +46,9 @@
 
 	private final boolean repeatable;
 
-	private Optional<Claims.Claim> claim = Optional.empty();
+	private volatile Optional<Claims.Claim> claim = Optional.empty();
+
+	private volatile boolean sent;
 
 	private ServiceCall(RequestEnvironment environment, RequestContext context, Claims claims, IncomingCall call,
 			String path) {
@@ -115,7 +117,8 @@
 	private void dispatch() {
 		this.context.findTarget().whenComplete((prepared, failure) -> {
 			if (failure != null) {
-				end(ServingException.from(failure));
+				ServingException cause = ServingException.from(failure);
+				end(this.sent ? cause.afterSending() : cause);
 				return;
 			}
 			prepared.exchange(this.upstream, this.environment.limits().serviceMillis(), MAX_ANSWER_BYTES)
@@ -135,6 +138,7 @@
 			case UNREACHABLE -> dispatch();
 			case ANSWER_TOO_LARGE -> end(cause);
 			default -> {
+				this.sent = true;
 				prepared.endpoint().failed();
 				prepared.endpoint().closeIdle();
 				lost(cause);
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ConfigurationSampler.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ConfigurationSampler.java
@@ -1,5 +1,6 @@
 package org.monsoonvalve.scenarios.process;
 
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +23,8 @@
 
 	private static final Set<EventKind> INTERRUPTIONS = Set.of(EventKind.STARTED, EventKind.THAWED);
 
+	private final Clock clock = Clock.systemUTC();
+
 	private final Cluster cluster;
 
 	private final Timeline timeline;
@@ -63,7 +66,7 @@
 	}
 
 	private void sample(ManagedProcess entry) {
-		long askedMillis = System.currentTimeMillis();
+		long askedMillis = this.clock.millis();
 		try {
 			JsonNode status = this.cluster.admin().status(entry);
 			long startedMillis = 0;
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/LoadRunner.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/LoadRunner.java
@@ -28,6 +28,8 @@
 
 	private static final long BALANCER_POLL_MILLIS = 200;
 
+	private static final long READINESS_TIMEOUT_MILLIS = 500;
+
 	private static final int OK = 200;
 
 	private static final int MAX_TOKENS_DEFAULT = 10;
@@ -126,7 +128,9 @@
 
 	private boolean isReady(ManagedProcess entry) {
 		try {
-			return entry.running() && this.cluster.call(entry.address(), HttpCall.get("/readyz")).status() == OK;
+			return entry.running()
+					&& this.cluster.call(entry.address(), HttpCall.get("/readyz"), READINESS_TIMEOUT_MILLIS)
+						.status() == OK;
 		}
 		catch (RuntimeException ex) {
 			return false;
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ScenarioRun.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/ScenarioRun.java
@@ -6,7 +6,9 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
@@ -38,8 +40,12 @@
 
 	private static final int COLD_CAPACITY = 2;
 
+	private static final double HALF = 0.5;
+
 	private static final double NINETY_FIVE = 0.95;
 
+	private static final double NINETY_NINE = 0.99;
+
 	private final Scenario scenario;
 
 	private final Timeline timeline = new Timeline();
@@ -275,10 +281,22 @@
 	}
 
 	private static String summary(Evidence evidence) {
-		return evidence.observations()
+		Map<String, Long> outcomes = evidence.observations()
+			.stream()
+			.collect(Collectors.groupingBy(ScenarioRun::outcome, TreeMap::new, Collectors.counting()));
+		return outcomes + " " + latencies(evidence);
+	}
+
+	private static String latencies(Evidence evidence) {
+		Map<String, List<Observation>> byLoad = evidence.observations()
+			.stream()
+			.filter((seen) -> seen.outcome() == Outcome.ANSWERED)
+			.collect(Collectors.groupingBy(Observation::load, TreeMap::new, Collectors.toList()));
+		return byLoad.entrySet()
 			.stream()
-			.collect(Collectors.groupingBy(ScenarioRun::outcome, java.util.TreeMap::new, Collectors.counting()))
-			.toString();
+			.map((load) -> load.getKey() + " " + percentile(load.getValue(), HALF) + "/"
+					+ percentile(load.getValue(), NINETY_FIVE) + "/" + percentile(load.getValue(), NINETY_NINE))
+			.collect(Collectors.joining(", ", "p50/p95/p99 ms: ", ""));
 	}
 
 	private static String outcome(Observation seen) {
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/Timeline.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/process/Timeline.java
@@ -1,5 +1,6 @@
 package org.monsoonvalve.scenarios.process;
 
+import java.time.Clock;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -11,6 +12,8 @@
  */
 public final class Timeline {
 
+	private final Clock clock = Clock.systemUTC();
+
 	private final Queue<Event> events = new ConcurrentLinkedQueue<>();
 
 	/**
@@ -29,7 +32,7 @@
 	 * @param number a revision, where there is one
 	 */
 	public void note(EventKind kind, String target, long number) {
-		this.events.add(new Event(System.currentTimeMillis(), kind, target, number));
+		this.events.add(new Event(this.clock.millis(), kind, target, number));
 	}
 
 	/**
@@ -76,10 +79,10 @@
 		/** A process was asked to end. */
 		TERMINATED,
 
-		/** A process was stopped in its tracks. */
+		/** A process was suspended. */
 		FROZEN,
 
-		/** A stopped process goes on. */
+		/** A suspended process goes on. */
 		THAWED,
 
 		/** An availability zone was taken out of service. */
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/request/Caller.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/request/Caller.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -36,6 +37,8 @@
 
 	private static final int FIRST_NON_SUCCESS = 300;
 
+	private static final Clock CLOCK = Clock.systemUTC();
+
 	private static final String DATA = "data: ";
 
 	private static final String DONE = "[DONE]";
@@ -122,7 +125,7 @@
 
 		private final String clientId;
 
-		private final long sentMillis = System.currentTimeMillis();
+		private final long sentMillis = CLOCK.millis();
 
 		private long firstTokenMillis = -1;
 
@@ -136,7 +139,7 @@
 			try {
 				response.body().forEach((line) -> {
 					if (this.firstTokenMillis < 0 && line.startsWith(DATA)) {
-						this.firstTokenMillis = System.currentTimeMillis() - this.sentMillis;
+						this.firstTokenMillis = CLOCK.millis() - this.sentMillis;
 					}
 					lines.add(line);
 				});
@@ -215,7 +218,7 @@
 
 		private Observation end(Outcome outcome, int status, String run, String detail) {
 			return new Observation(this.call.load(), this.clientId, this.call.key(), this.call.entry(), this.sentMillis,
-					System.currentTimeMillis(), this.firstTokenMillis, outcome, status, run, detail);
+					CLOCK.millis(), this.firstTokenMillis, outcome, status, run, detail);
 		}
 
 	}
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/version/Evidence.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/version/Evidence.java
@@ -18,7 +18,7 @@
  * @param ledger what endpoints executed, in order of time
  * @param samples the revisions in force, as entries reported them
  * @param entryNames the entries' names by address
- * @param coldCapacity how many requests a cold endpoint bears
+ * @param coldCapacity how many requests a cold endpoint takes at once
  */
 public record Evidence(Timeline timeline, List<Observation> observations, List<LedgerEntry> ledger,
 		List<Sample> samples, Map<String, String> entryNames, int coldCapacity) {
--- a/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/version/Step.java
+++ b/monsoonvalve-scenarios/src/main/java/org/monsoonvalve/scenarios/version/Step.java
@@ -66,8 +66,8 @@
 	 * @param kill the process to kill
 	 * @param term the process to end gracefully
 	 * @param start the process to start again
-	 * @param freeze the process to stop in its tracks
-	 * @param thaw the process to let go on
+	 * @param freeze the process to suspend
+	 * @param thaw the suspended process that goes on
 	 */
 	record Act(String kill, String term, String start, String freeze, String thaw) implements Step {
 
--- a/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/EndpointState.java
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/EndpointState.java
@@ -1,6 +1,7 @@
 package org.monsoonvalve.standins.process;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.util.List;
 import java.util.Queue;
 import java.util.Set;
@@ -32,6 +33,8 @@
 
 	private static final long EVIDENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+	private final Clock clock = Clock.systemUTC();
+
 	private final Settings settings;
 
 	private final Faults faults = Faults.none();
@@ -188,10 +191,10 @@
 
 	void record(String kind, IncomingCall call, String clientId, boolean cold, int concurrent, String group, long fence,
 			boolean complete) {
-		LedgerEntry entry = new LedgerEntry(System.currentTimeMillis(), kind,
-				call.headers().get("X-Request-Id").orElse(""), call.headers().get("Idempotency-Key").orElse(""),
-				clientId, this.settings.get(StandinSettings.VM), this.settings.get(StandinSettings.ZONE), this.bootId,
-				cold, concurrent, this.toldCold.get(), group, fence, complete, call.method() + " " + call.target());
+		LedgerEntry entry = new LedgerEntry(this.clock.millis(), kind, call.headers().get("X-Request-Id").orElse(""),
+				call.headers().get("Idempotency-Key").orElse(""), clientId, this.settings.get(StandinSettings.VM),
+				this.settings.get(StandinSettings.ZONE), this.bootId, cold, concurrent, this.toldCold.get(), group,
+				fence, complete, call.method() + " " + call.target());
 		this.ledger.add(entry);
 		System.out.println(LedgerEntry.LINE_PREFIX + new String(Codec.JSON.encode(entry), StandardCharsets.UTF_8));
 	}
--- a/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/StandinSettings.java
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/StandinSettings.java
@@ -21,9 +21,9 @@
 	/** The availability zone of the VM. */
 	public static final Setting<String> ZONE = Setting.name("availability-zone", "availability zone of the VM");
 
-	/** How many requests a cold endpoint bears. */
+	/** How many requests a cold endpoint takes at once. */
 	public static final Setting<Integer> COLD_CAPACITY = Setting.number("cold-capacity",
-			"how many requests a cold endpoint bears at once", 1, 1000, 2);
+			"how many requests a cold endpoint takes at once", 1, 1000, 2);
 
 	/** How many requests make an endpoint warm. */
 	public static final Setting<Integer> WARM_REQUESTS = Setting.number("warm-requests",
