A leader that had just said that its group is complete

The trace: all three began within 6 ms of each other, at the moment at which the member's last heartbeat became too old for the leader; no event of the group stands around it, and no later request followed.

Ruled out: a stale answer of the entry (the preflight is on the request's own connection, not older than 900 ms).

Change: stand-ins remember for each connection what they last said, and the ledger records whether the leader had said on the request's connection, for this group and fence, within 900 ms that it was complete.

--- a/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/EndpointState.java
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/EndpointState.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.monsoonvalve.core.connection.EndpointStatus;
 import org.monsoonvalve.core.connection.Headers;
 import org.monsoonvalve.core.connection.IncomingCall;
 import org.monsoonvalve.core.process.Codec;
@@ -149,7 +150,7 @@
 			return Execution.NONE;
 		}
 		boolean cold = !warm();
-		boolean toldWarm = this.connections.getOrDefault(call.connectionNumber(), Told.NOTHING).isWarmNow();
+		boolean toldWarm = told(call).saidWarm();
 		Execution execution = new Execution(this.bootId, cold, cold && !toldWarm);
 		int all = this.running.incrementAndGet();
 		int coldNow = this.coldRunning.addAndGet(cold ? 1 : 0);
@@ -163,14 +164,18 @@
 	}
 
 	/**
-	 * Remembers that the endpoint says on a connection whether it is warm.
+	 * Remembers what the endpoint says on a connection.
 	 * @param call the request for its state
-	 * @return whether it is warm
+	 * @param status what it says
+	 * @return what it says
 	 */
-	boolean tellWarmth(IncomingCall call) {
-		boolean warm = warm();
-		this.connections.put(call.connectionNumber(), new Told(warm, System.nanoTime()));
-		return warm;
+	EndpointStatus tell(IncomingCall call, EndpointStatus status) {
+		this.connections.put(call.connectionNumber(), new Told(status, System.nanoTime()));
+		return status;
+	}
+
+	private Told told(IncomingCall call) {
+		return this.connections.getOrDefault(call.connectionNumber(), Told.NOTHING);
 	}
 
 	boolean alive(Execution execution) {
@@ -194,7 +199,7 @@
 		LedgerEntry entry = new LedgerEntry(this.clock.millis(), kind, call.headers().get("X-Request-Id").orElse(""),
 				call.headers().get("Idempotency-Key").orElse(""), clientId, this.settings.get(StandinSettings.VM),
 				this.settings.get(StandinSettings.ZONE), this.bootId, cold, concurrent, this.toldCold.get(), group,
-				fence, complete, call.method() + " " + call.target());
+				fence, complete, told(call).saidComplete(group, fence), call.method() + " " + call.target());
 		this.ledger.add(entry);
 		System.out.println(LedgerEntry.LINE_PREFIX + new String(Codec.JSON.encode(entry), StandardCharsets.UTF_8));
 	}
@@ -226,17 +231,26 @@
 	}
 
 	/**
-	 * What the endpoint last said of its warmth on a connection.
+	 * What the endpoint last said of itself on a connection.
 	 *
-	 * @param warm whether it said that it was warm
+	 * @param status what it said, {@code null} if nothing
 	 * @param atNanos when, by the monotonic clock
 	 */
-	private record Told(boolean warm, long atNanos) {
+	private record Told(EndpointStatus status, long atNanos) {
+
+		private static final Told NOTHING = new Told(null, 0);
 
-		private static final Told NOTHING = new Told(false, 0);
+		private boolean recent() {
+			return this.status != null && System.nanoTime() - this.atNanos <= EVIDENCE_NANOS;
+		}
+
+		private boolean saidWarm() {
+			return recent() && this.status.warm();
+		}
 
-		private boolean isWarmNow() {
-			return this.warm && System.nanoTime() - this.atNanos <= EVIDENCE_NANOS;
+		private boolean saidComplete(String group, long fence) {
+			return recent() && this.status.groupComplete() && this.status.group().equals(group)
+					&& this.status.fence() == fence;
 		}
 
 	}
--- a/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/EngineStandin.java
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/EngineStandin.java
@@ -106,9 +106,10 @@
 
 	private EndpointStatus status(IncomingCall call) {
 		Job now = this.job.get();
-		return new EndpointStatus(this.state.bootId(), this.state.uptimeMillis(), this.state.tellWarmth(call),
-				this.state.leaving(), now.group(), now.fence(), now.loaded() ? now.model() : "", complete(now),
-				this.state.running());
+		return this.state.tell(call,
+				new EndpointStatus(this.state.bootId(), this.state.uptimeMillis(), this.state.warm(),
+						this.state.leaving(), now.group(), now.fence(), now.loaded() ? now.model() : "", complete(now),
+						this.state.running()));
 	}
 
 	private boolean complete(Job now) {
--- a/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/ServiceStandin.java
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/process/ServiceStandin.java
@@ -51,8 +51,8 @@
 			return;
 		}
 		if (call.path().equals("/status")) {
-			call.replyJson(OK, new EndpointStatus(this.state.bootId(), this.state.uptimeMillis(),
-					this.state.tellWarmth(call), this.state.leaving(), "", 0, "", true, this.state.running()));
+			call.replyJson(OK, this.state.tell(call, new EndpointStatus(this.state.bootId(), this.state.uptimeMillis(),
+					this.state.warm(), this.state.leaving(), "", 0, "", true, this.state.running())));
 			return;
 		}
 		if (this.state.faults().take(FaultKind.RESET_BEFORE)) {
--- a/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/request/LedgerEntry.java
+++ b/monsoonvalve-standins/src/main/java/org/monsoonvalve/standins/request/LedgerEntry.java
@@ -21,11 +21,12 @@
  * @param group the replica group, empty for plain services
  * @param fence the fencing number in force
  * @param complete whether the endpoint heard all members of its group
+ * @param toldComplete whether it had said so on the request's connection a moment before
  * @param path the request's method and path
  */
 public record LedgerEntry(long timeMillis, String kind, String requestId, String idempotencyKey, String clientId,
 		String vm, String zone, String bootId, boolean cold, int concurrent, int toldCold, String group, long fence,
-		boolean complete, String path) {
+		boolean complete, boolean toldComplete, String path) {
 
 	/** What an entry's line on standard output begins with. */
 	public static final String LINE_PREFIX = "LEDGER ";
