--- a/monsoonvalve-scenarios/src/test/java/org/monsoonvalve/scenarios/version/PromiseTests.java
+++ b/monsoonvalve-scenarios/src/test/java/org/monsoonvalve/scenarios/version/PromiseTests.java
@@ -19,7 +19,7 @@
 
 	private static LedgerEntry entry(String kind, String vm, String group, long fence, long atMillis) {
 		return new LedgerEntry(atMillis, kind, "request", "", "client", vm, "zone", "boot", false, 1, 0, group, fence,
-				true, "POST /bookings");
+				true, false, "POST /bookings");
 	}
 
 	private static LedgerEntry run(String vm, String group, long fence, long atMillis) {
