One answer to whether an endpoint is known to be cold

Cause: routing worked out from the last observation what Endpoint.knownCold already tells.

Ruled out: nothing else of the change was touched; the capacity that Slots.obtain and capacityOf both work out is left.

Change: routing calls knownCold, and the accessor that only it used is gone. Behaviour stays as it is.

--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Endpoint.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Endpoint.java
@@ -1,6 +1,5 @@
 package org.monsoonvalve.entry.connection;
 
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -94,14 +93,6 @@
 		return this.outstanding;
 	}
 
-	/**
-	 * Returns what the endpoint last said of itself.
-	 * @return the observation, if there is one
-	 */
-	public Optional<Observation> lastObservation() {
-		return Optional.ofNullable(this.last.get());
-	}
-
 	/**
 	 * Tells whether the endpoint failed lately and should be tried last.
 	 * @return {@code true} while its penalty lasts
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/RequestEnvironment.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/RequestEnvironment.java
@@ -147,8 +147,8 @@
 
 	private Candidate candidate(Target target, int capacity) {
 		Endpoint endpoint = this.endpoints.get(target.leader());
-		boolean cold = endpoint.lastObservation().map((seen) -> !seen.status().warm()).orElse(false);
-		return new Candidate(target, endpoint.outstanding().get(), capacity, endpoint.penalised(), cold);
+		return new Candidate(target, endpoint.outstanding().get(), capacity, endpoint.penalised(),
+				endpoint.knownCold());
 	}
 
 	private int limitOf(String pool) {
