Evict groups that lost a member

Cause: a head whose member is gone goes on for a stall time before it is broken; asked to close after finishing its requests, it stays in the closing state all that while, although none of them moves. The survivors were released only then. Ruled out: evicting groups with a leaving member; that member stays until the work is done. Change: EVICT as an order of its own; a head that lost a member without a record is told to break off.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/GroupOrder.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/GroupOrder.java
@@ -57,6 +57,7 @@
 			case OPEN ->
 				state.filter((present) -> present != GroupState.READY && present != GroupState.JOINING).isPresent();
 			case CLOSE -> state.filter((present) -> present == GroupState.OPEN).isEmpty();
+			case EVICT -> state.filter(GroupState::active).isEmpty();
 			case LEAVE -> state.isEmpty();
 			case STAGE -> endpoint.staged().contains(this.model);
 		};
@@ -76,6 +77,9 @@
 		/** Finish the requests in progress and take no new ones. */
 		CLOSE,
 
+		/** Break off the requests in progress and take no new ones. */
+		EVICT,
+
 		/** Leave the group. */
 		LEAVE,
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
@@ -91,7 +91,14 @@
 		}
 		EndpointRecord head = headRecord.get();
 		Optional<GroupState> state = stateIn(group, head);
-		if (state.filter((present) -> present == GroupState.OPEN).isPresent()) {
+		boolean memberLost = group.members().stream().anyMatch((member) -> this.situation.record(member).isEmpty());
+		if (memberLost && state.filter(GroupState::active).isPresent()) {
+			// Requests of a group without all its members stand still; they can go on
+			// only
+			// elsewhere.
+			order(head, GroupOrder.of(GroupOrder.Action.EVICT, group));
+		}
+		else if (state.filter((present) -> present == GroupState.OPEN).isPresent()) {
 			order(head, GroupOrder.of(GroupOrder.Action.CLOSE, group));
 		}
 		else if (state.filter(GroupState::active).isEmpty() && !this.situation.busy().test(head)) {
