Let small groups give way to survivors of the scarcer model

Ruled out: more groups of the large model at the start; they break just as often, and the small model is short then. Change: members of one small group in each domain hold the large model's weights in reserve, loaded ahead while they serve; their engines keep what they carry. When survivors wait and the other model has more VMs for its share, such a group closes, after its requests, and its VMs complete the large one with a warm join. A group that gives way says so in the store, so that the next planner goes on. VMs that carry a model already may join a group of it again, whatever their host holds. Tests: ReplicaPlannerTests, for losses of single VMs one after another while the other model has VMs to spare.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
@@ -13,6 +13,7 @@
 import org.monsoonvalve.gateway.process.DecisionLog;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.FleetView;
+import org.monsoonvalve.gateway.version.GroupMembership;
 
 /**
  * The endpoints in use, and the choice among them. Confined to the event loop.
@@ -82,7 +83,9 @@
 
 	private void record(LogEvent event, EndpointRecord record) {
 		this.log.record(event, "endpoint", record.id(), "service", record.service(), "address", record.address(),
-				"zone", record.zone(), "record", record.revision(), "view", this.view.revision());
+				"zone", record.zone(), "staged", record.staged(), "models", record.models(), "group",
+				record.membership().map(GroupMembership::group).orElse(""), "record", record.revision(), "view",
+				this.view.revision());
 	}
 
 	/**
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/EndpointRecord.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/EndpointRecord.java
@@ -43,6 +43,16 @@
 		return this.id + "@" + this.bornMillis;
 	}
 
+	/**
+	 * Tells whether the VM can join a group of a model without a load from the weight
+	 * store.
+	 * @param model the model's name
+	 * @return {@code true} if its engine carries the model or its host holds the weights
+	 */
+	public boolean holds(String model) {
+		return this.models.contains(model) || this.staged.contains(model);
+	}
+
 	/**
 	 * Tells whether this is a member of a group in a given epoch.
 	 * @param group the group's name
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaGroup.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaGroup.java
@@ -1,6 +1,7 @@
 package org.monsoonvalve.gateway.version;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A planned replica of a model.
@@ -10,14 +11,46 @@
  * @param epoch the number that orders memberships of a VM
  * @param model the model
  * @param members the incarnations of its members, the head first
+ * @param successor the model that its VMs are to carry next, empty while the group is
+ * wanted
  */
-public record ReplicaGroup(String name, long epoch, String model, List<MemberVm> members) {
+public record ReplicaGroup(String name, long epoch, String model, List<MemberVm> members, String successor) {
 
 	/**
 	 * Copies the members.
 	 */
 	public ReplicaGroup {
 		members = List.copyOf(members);
+		successor = Objects.requireNonNullElse(successor, "");
+	}
+
+	/**
+	 * Creates a group that is wanted.
+	 * @param name the group's name
+	 * @param epoch the number that orders memberships of a VM
+	 * @param model the model
+	 * @param members the incarnations of its members, the head first
+	 * @return the group
+	 */
+	public static ReplicaGroup of(String name, long epoch, String model, List<MemberVm> members) {
+		return new ReplicaGroup(name, epoch, model, members, "");
+	}
+
+	/**
+	 * Returns the group as one that gives way to another model.
+	 * @param next the model that its VMs are to carry next
+	 * @return the changed group
+	 */
+	public ReplicaGroup givingWayTo(String next) {
+		return new ReplicaGroup(this.name, this.epoch, this.model, this.members, next);
+	}
+
+	/**
+	 * Tells whether the group is to close so that another model can have its VMs.
+	 * @return {@code true} if it gives way
+	 */
+	public boolean givesWay() {
+		return !this.successor.isEmpty();
 	}
 
 	/**
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -22,6 +23,12 @@
  */
 public final class ReplicaPlanner {
 
+	/**
+	 * VMs of a domain that hold the weights of a model with larger groups while they
+	 * serve another: both members of a small group, so that one group gives way.
+	 */
+	private static final int RESERVES = 2;
+
 	/** Stands in for a share of zero. */
 	private static final double LEAST_SHARE = 1e-6;
 
@@ -47,6 +54,7 @@
 		ReplicaPlanner planner = new ReplicaPlanner(situation);
 		planner.reviewGroups();
 		planner.formGroups();
+		planner.reassign();
 		planner.stageWeights();
 		return new Plan(planner.groups, planner.orders, planner.removed);
 	}
@@ -56,7 +64,10 @@
 			List<Optional<EndpointRecord>> members = group.members().stream().map(this.situation::record).toList();
 			boolean whole = members.stream()
 				.allMatch((member) -> member.filter((record) -> !record.draining()).isPresent());
-			if (whole) {
+			if (group.givesWay() && members.get(0).isPresent()) {
+				close(group, members.get(0).get(), "its VMs go to " + group.successor());
+			}
+			else if (whole) {
 				advance(group, members.stream().map(Optional::get).toList());
 			}
 			else {
@@ -89,20 +100,23 @@
 			}
 			return;
 		}
-		EndpointRecord head = headRecord.get();
+		close(group, headRecord.get(), "a member is gone or leaving");
+	}
+
+	// Ends a group; it stays planned while requests may be running in it.
+	private void close(ReplicaGroup group, EndpointRecord head, String reason) {
 		Optional<GroupState> state = stateIn(group, head);
 		boolean memberLost = group.members().stream().anyMatch((member) -> this.situation.record(member).isEmpty());
 		if (memberLost && state.filter(GroupState::active).isPresent()) {
 			// Requests of a group without all its members stand still; they can go on
-			// only
-			// elsewhere.
+			// only elsewhere.
 			order(head, GroupOrder.of(GroupOrder.Action.EVICT, group));
 		}
 		else if (state.filter((present) -> present == GroupState.OPEN).isPresent()) {
 			order(head, GroupOrder.of(GroupOrder.Action.CLOSE, group));
 		}
 		else if (state.filter(GroupState::active).isEmpty() && !this.situation.busy().test(head)) {
-			remove(group, "a member is gone or leaving");
+			remove(group, reason);
 		}
 	}
 
@@ -135,7 +149,8 @@
 
 	private boolean formGroup(ModelProfile model, List<EndpointRecord> free) {
 		List<EndpointRecord> members = free.stream()
-			.filter((record) -> record.staged().contains(model.name()))
+			.filter((record) -> record.holds(model.name()))
+			.sorted(Comparator.comparing((record) -> !record.models().contains(model.name())))
 			.limit(model.groupSize())
 			.toList();
 		if (members.size() < model.groupSize()) {
@@ -147,6 +162,59 @@
 		return true;
 	}
 
+	// Completes a group of the model that is shortest of VMs with those of other models'
+	// groups in the same domain, if those models still have more for their share then.
+	private void reassign() {
+		Map<String, Integer> vms = vmsInGroups();
+		ModelProfile wanted = byNeed(vms).get(0);
+		for (Map.Entry<String, List<EndpointRecord>> domain : freeByDomain((record) -> true).entrySet()) {
+			long free = domain.getValue().stream().filter((record) -> record.holds(wanted.name())).count();
+			if (free == 0 || free >= wanted.groupSize() || givesWayIn(domain.getKey())) {
+				continue;
+			}
+			long missing = wanted.groupSize() - free;
+			double wantedLoad = (vms.getOrDefault(wanted.name(), 0) + wanted.groupSize()) / shareOf(wanted.name());
+			Optional<ReplicaGroup> donor = groupsIn(domain.getKey()).stream()
+				.filter((group) -> !group.model().equals(wanted.name()) && holders(group, wanted.name()) >= missing)
+				.filter((group) -> (vms.getOrDefault(group.model(), 0) - group.members().size())
+						/ shareOf(group.model()) >= wantedLoad)
+				.min(Comparator.comparingLong((group) -> holders(group, wanted.name())));
+			if (donor.isPresent()) {
+				this.groups = this.groups.givingWay(donor.get().name(), wanted.name());
+				return;
+			}
+		}
+	}
+
+	private double shareOf(String model) {
+		return this.situation.engine()
+			.model(model)
+			.map((profile) -> Math.max(LEAST_SHARE, profile.share()))
+			.orElse(LEAST_SHARE);
+	}
+
+	private boolean givesWayIn(String domain) {
+		return groupsIn(domain).stream().anyMatch(ReplicaGroup::givesWay);
+	}
+
+	private List<ReplicaGroup> groupsIn(String domain) {
+		return this.groups.groups()
+			.stream()
+			.filter((group) -> group.members()
+				.stream()
+				.anyMatch((member) -> this.situation.record(member)
+					.filter((record) -> record.domain().equals(domain))
+					.isPresent()))
+			.toList();
+	}
+
+	private long holders(ReplicaGroup group, String model) {
+		return group.members()
+			.stream()
+			.filter((member) -> this.situation.record(member).filter((record) -> record.holds(model)).isPresent())
+			.count();
+	}
+
 	// Lists the models by the VMs for their share that they would have with one more
 	// group, the fewest first.
 	private List<ModelProfile> byNeed() {
@@ -155,7 +223,9 @@
 
 	private Map<String, Integer> vmsInGroups() {
 		Map<String, Integer> vms = new HashMap<>(this.situation.vmsElsewhere());
-		this.groups.groups().forEach((group) -> vms.merge(group.model(), group.members().size(), Integer::sum));
+		this.groups.groups()
+			.forEach((group) -> vms.merge(group.givesWay() ? group.successor() : group.model(), group.members().size(),
+					Integer::sum));
 		return vms;
 	}
 
@@ -209,6 +279,57 @@
 				allowance -= restage(records, allowance);
 			}
 		}
+		if (allowance > 0) {
+			stageReserves(allowance);
+		}
+	}
+
+	// Has members of other models' groups hold the weights of models with larger groups,
+	// which break more often and are harder to complete. Their engines keep the model
+	// that they carry.
+	private void stageReserves(int allowance) {
+		int smallest = this.situation.engine().models().stream().mapToInt(ModelProfile::groupSize).min().orElse(1);
+		int left = allowance;
+		for (ModelProfile model : byNeed()) {
+			if (model.groupSize() == smallest) {
+				continue;
+			}
+			for (String domain : new TreeSet<>(
+					this.situation.endpoints().stream().map(EndpointRecord::domain).toList())) {
+				int staged = stageReserve(model, domain, left);
+				left -= staged;
+			}
+		}
+	}
+
+	private int stageReserve(ModelProfile model, String domain, int allowance) {
+		List<EndpointRecord> outside = this.situation.endpoints()
+			.stream()
+			.filter((record) -> record.domain().equals(domain) && !record.draining())
+			.filter((record) -> this.groups.groupOf(ReplicaGroup.MemberVm.of(record))
+				.filter((group) -> group.model().equals(model.name()))
+				.isEmpty())
+			.toList();
+		Predicate<EndpointRecord> holding = (record) -> record.holds(model.name())
+				|| model.name().equals(this.situation.staging().get(record.incarnation()));
+		long survivors = outside.stream()
+			.filter((record) -> this.groups.groupOf(ReplicaGroup.MemberVm.of(record)).isEmpty())
+			.filter(holding)
+			.count();
+		boolean present = survivors > 0
+				|| groupsIn(domain).stream().anyMatch((group) -> group.model().equals(model.name()));
+		long wanted = (survivors > 0) ? model.groupSize() : (present ? RESERVES : 0);
+		long missing = wanted - outside.stream().filter(holding).count();
+		List<EndpointRecord> chosen = outside.stream()
+			.filter((record) -> !holding.test(record) && !this.situation.busy().test(record)
+					&& !this.situation.staging().containsKey(record.incarnation()))
+			.filter((record) -> this.groups.groupOf(ReplicaGroup.MemberVm.of(record)).isPresent())
+			.sorted(Comparator.comparingLong(
+					(record) -> -holders(this.groups.groupOf(ReplicaGroup.MemberVm.of(record)).get(), model.name())))
+			.limit(Math.max(0, Math.min(missing, allowance)))
+			.toList();
+		chosen.forEach((record) -> order(record, GroupOrder.stage(model.name())));
+		return chosen.size();
 	}
 
 	// Gives free VMs that wait in vain for others with the same weights the weights of a
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ZoneGroups.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ZoneGroups.java
@@ -39,7 +39,7 @@
 	public ZoneGroups with(String zone, String model, List<ReplicaGroup.MemberVm> members) {
 		long epoch = this.lastEpoch + 1;
 		List<ReplicaGroup> all = new ArrayList<>(this.groups);
-		all.add(new ReplicaGroup(zone + "-" + epoch, epoch, model, members));
+		all.add(ReplicaGroup.of(zone + "-" + epoch, epoch, model, members));
 		return new ZoneGroups(epoch, all);
 	}
 
@@ -53,6 +53,19 @@
 				this.groups.stream().filter((group) -> !group.name().equals(name)).toList());
 	}
 
+	/**
+	 * Marks a group as one that gives way to another model.
+	 * @param name the group's name
+	 * @param successor the model that its VMs are to carry next
+	 * @return the changed value
+	 */
+	public ZoneGroups givingWay(String name, String successor) {
+		return new ZoneGroups(this.lastEpoch,
+				this.groups.stream()
+					.map((group) -> group.name().equals(name) ? group.givingWayTo(successor) : group)
+					.toList());
+	}
+
 	/**
 	 * Finds the group that a VM belongs to.
 	 * @param member the VM
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/OrderDeskTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/OrderDeskTests.java
@@ -19,7 +19,7 @@
 
 public class OrderDeskTests {
 
-	private static final ReplicaGroup GROUP = new ReplicaGroup("kano-a-9", 9, "small",
+	private static final ReplicaGroup GROUP = ReplicaGroup.of("kano-a-9", 9, "small",
 			List.of(new ReplicaGroup.MemberVm("a", 1), new ReplicaGroup.MemberVm("b", 1)));
 
 	private final ScheduledExecutorService control = Executors.newSingleThreadScheduledExecutor();
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
@@ -169,6 +169,79 @@
 		Assert.assertEquals(plan(empty, ZoneGroups.empty(), Map.of(), 3).orders().size(), 3);
 	}
 
+	static EndpointRecord carrying(String id, String model, String staged, GroupMembership membership) {
+		return new EndpointRecord(id, "engines", new Address("10.0.0.1", 80), "kano-a", 12, false, 0, 1, "d1",
+				List.of(staged), List.of(model), Optional.of(membership), 1);
+	}
+
+	// Load pattern: losses of single VMs of a model with large groups, one after another,
+	// while the model with small groups has VMs to spare.
+	private static ZoneGroups fiveSmallGroups() {
+		ZoneGroups groups = ZoneGroups.empty();
+		for (int i = 0; i < 5; i++) {
+			groups = groups.with("kano-a", "small", List.of(member("s" + 2 * i), member("s" + (2 * i + 1))));
+		}
+		return groups;
+	}
+
+	private static List<EndpointRecord> smallGroupsAndSurvivors(ZoneGroups groups, GroupState state, String staged,
+			int survivors) {
+		List<EndpointRecord> endpoints = new ArrayList<>();
+		groups.groups().forEach((group) -> IntStream.range(0, 2).forEach((rank) -> {
+			String id = group.members().get(rank).id();
+			endpoints.add(carrying(id, "small", (id.equals("s8") || id.equals("s9")) ? staged : "small",
+					in(group, rank, (rank == 0) ? state : GroupState.READY)));
+		}));
+		IntStream.range(0, survivors).forEach((i) -> endpoints.add(vm("l" + i, "d1", "large", null)));
+		return endpoints;
+	}
+
+	@Test
+	public void aSmallGroupGivesWayToSurvivorsOfAScarceLargeModel() {
+		ZoneGroups groups = fiveSmallGroups();
+		ReplicaPlanner.Plan giving = plan(smallGroupsAndSurvivors(groups, GroupState.OPEN, "large", 3), groups,
+				Map.of(), 0);
+		Assert.assertEquals(giving.groups().groups().stream().filter(ReplicaGroup::givesWay).count(), 1);
+		ReplicaPlanner.Plan closing = plan(smallGroupsAndSurvivors(groups, GroupState.OPEN, "large", 3),
+				giving.groups(), Map.of(), 0);
+		Assert.assertEquals(closing.orders().get(0).endpoint().id(), "s8");
+		Assert.assertEquals(closing.orders().get(0).order().action(), GroupOrder.Action.CLOSE);
+		Assert.assertEquals(closing.groups(), giving.groups(), "no VM moves while the group's head serves");
+		ReplicaPlanner.Plan formed = plan(smallGroupsAndSurvivors(groups, GroupState.READY, "large", 3),
+				giving.groups(), Map.of(), 0);
+		Assert.assertEquals(formed.groups().groups().stream().filter((group) -> group.model().equals("large")).count(),
+				1);
+		Assert.assertEquals(formed.groups().groups().stream().filter((group) -> group.model().equals("small")).count(),
+				4);
+	}
+
+	@Test
+	public void noGroupGivesWayWithoutTheWeightsOrWhenItsOwnModelWouldBeShort() {
+		ZoneGroups groups = fiveSmallGroups();
+		Assert.assertEquals(
+				plan(smallGroupsAndSurvivors(groups, GroupState.OPEN, "small", 3), groups, Map.of(), 0).groups(),
+				groups);
+		ZoneGroups few = new ZoneGroups(5, groups.groups().subList(4, 5));
+		Assert.assertEquals(plan(smallGroupsAndSurvivors(few, GroupState.OPEN, "large", 3), few, Map.of(), 0).groups(),
+				few);
+	}
+
+	@Test
+	public void membersOfOneSmallGroupHoldTheWeightsOfTheLargeModelInReserve() {
+		ZoneGroups groups = fiveSmallGroups().with("kano-a", "large",
+				List.of(member("l0"), member("l1"), member("l2"), member("l3")));
+		List<EndpointRecord> endpoints = new ArrayList<>(
+				smallGroupsAndSurvivors(fiveSmallGroups(), GroupState.OPEN, "small", 0));
+		ReplicaGroup large = groups.groups().get(5);
+		IntStream.range(0, 4)
+			.forEach((i) -> endpoints
+				.add(carrying("l" + i, "large", "large", in(large, i, (i == 0) ? GroupState.OPEN : GroupState.READY))));
+		List<ReplicaPlanner.Order> orders = plan(endpoints, groups, Map.of(), 3).orders();
+		Assert.assertEquals(orders.stream().map((order) -> order.order().model()).toList(), List.of("large", "large"));
+		Assert.assertEquals(
+				orders.stream().map((order) -> groups.groupOf(member(order.endpoint().id()))).distinct().count(), 1);
+	}
+
 	@Test
 	public void survivorsOfAScarceLargeModelKeepItsWeights() {
 		ZoneGroups groups = ZoneGroups.empty()
