Find lost members by their silence instead of their records

Cause: a record goes 3.6 s after its VM; until then requests to the group stand still, and a group whose head is gone releases its members only a stall time later (about 10 s in all). Streams show the loss after 240 ms. Change: when requests of a group stand still, the zone's planner asks its members for their reports; one that leaves two questions of 250 ms unanswered is missing, and its group is evicted and formed anew without it. The silence of a head counts from that moment on, but only while other members of the group answer.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
@@ -155,7 +155,13 @@
 	ORDER_ANSWERED(6304, Level.INFO, "an order was answered"),
 
 	/** An order got no usable answer. */
-	ORDER_UNANSWERED(6305, Level.WARN, "an order was not answered");
+	ORDER_UNANSWERED(6305, Level.WARN, "an order was not answered"),
+
+	/** A group's member left questions unanswered while its requests stood still. */
+	MEMBER_MISSING(6306, Level.WARN, "a member is missing"),
+
+	/** A missing member answered again. */
+	MEMBER_BACK(6307, Level.INFO, "a missing member is back");
 
 	private final int number;
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/EngineControl.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/EngineControl.java
@@ -25,8 +25,9 @@
 	/**
 	 * Asks an engine how many orders it has begun.
 	 * @param endpoint the endpoint
+	 * @param timeoutMillis the longest wait for the answer, in milliseconds
 	 * @return the count, or a {@link org.monsoonvalve.core.request.ServingException}
 	 */
-	CompletableFuture<Long> orderCount(EndpointRecord endpoint);
+	CompletableFuture<Long> orderCount(EndpointRecord endpoint, long timeoutMillis);
 
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -24,6 +24,7 @@
 import org.monsoonvalve.gateway.connection.EndpointSet;
 import org.monsoonvalve.gateway.request.Dispatcher;
 import org.monsoonvalve.gateway.request.RequestMetrics;
+import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.FleetView;
 import org.monsoonvalve.gateway.version.Member;
 
@@ -122,7 +123,7 @@
 		this.endpoints = new EndpointSet(settings.zone(),
 				(record) -> new Endpoint(record, client, this.registry.counter("endpoint_connections")::inc), log);
 		this.dispatcher = new Dispatcher(this.loop, platform.headerNames(), this.endpoints, settings.limits(),
-				this::processes, log, new RequestMetrics(this.registry));
+				this::processes, log, new RequestMetrics(this.registry), this::suspect);
 		ElapsedClock clock = ElapsedClock.system();
 		this.zones = settings.zones().stream().map((zone) -> {
 			LeaseElection election = LeaseElection.of(store, clock, "planner-" + zone, NodeId.of(settings.name()));
@@ -188,6 +189,11 @@
 		this.zones.forEach((zone) -> guarded("plan", () -> zone.planner().update(newer)));
 	}
 
+	private void suspect(EndpointRecord endpoint) {
+		this.control
+			.execute(() -> guarded("inspect", () -> this.zones.forEach((zone) -> zone.planner().suspect(endpoint))));
+	}
+
 	/**
 	 * Seeks the role of planner for the own zone, and for zones that have no process.
 	 */
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/OrderDesk.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/OrderDesk.java
@@ -25,6 +25,11 @@
 	/** Pause before an order without an answer is given again. */
 	private static final long RETRY_MILLIS = 300;
 
+	/**
+	 * Longest wait for an engine's report, which takes milliseconds unless it is lost.
+	 */
+	static final long REPORT_TIMEOUT_MILLIS = 700;
+
 	/** Answers that may fail to come before the desk lets go of the endpoint. */
 	private static final int MAX_TRIES = 12;
 
@@ -158,7 +163,7 @@
 	// The next plan gives the order again, with the count that the engine tells.
 	private void refreshCount(Job job) {
 		this.staging.remove(job.endpoint.incarnation());
-		this.engines.orderCount(job.endpoint).whenCompleteAsync((count, failure) -> {
+		this.engines.orderCount(job.endpoint, REPORT_TIMEOUT_MILLIS).whenCompleteAsync((count, failure) -> {
 			if (failure == null) {
 				this.counts.put(job.endpoint.incarnation(), count);
 			}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.stream.Collectors;
@@ -34,14 +35,26 @@
 final class ZonePlanner {
 
 	/**
-	 * Time without a record after which a head that answers nothing is gone: a head that
-	 * is cut off from its members breaks within the stall time.
+	 * Silence beyond the stall time after which a head without a record is gone: a head
+	 * that is cut off from its members breaks within the stall time.
 	 */
 	private static final long HEAD_GONE_MARGIN_MILLIS = 500;
 
-	/** Time between two attempts to close a head without a record. */
+	/**
+	 * Time between the first two attempts to close a head without a record; it doubles
+	 * with each attempt.
+	 */
 	private static final long CLOSE_RETRY_MILLIS = 700;
 
+	/** Longest time between two such attempts. */
+	private static final long LONGEST_CLOSE_RETRY_MILLIS = 6000;
+
+	/**
+	 * Time after which a group whose members are all gone is no longer planned; zones are
+	 * cut off for less, and their groups come back as they were.
+	 */
+	private static final long FORGET_MILLIS = 120_000;
+
 	private final String zone;
 
 	private final GatewaySettings settings;
@@ -54,6 +67,8 @@
 
 	private final OrderDesk desk;
 
+	private final MemberInspector inspector;
+
 	private final ScheduledExecutorService control;
 
 	private final DecisionLog log;
@@ -80,6 +95,7 @@
 		this.control = control;
 		this.log = log;
 		this.desk = new OrderDesk(engines, control, election::held, log);
+		this.inspector = new MemberInspector(engines, control, EventLoop::nowMillis, log);
 	}
 
 	void update(FleetView newer) {
@@ -104,6 +120,27 @@
 			.forEach((record) -> this.lastRecords.put(record.incarnation(), record));
 	}
 
+	/**
+	 * Looks at the members of a group whose requests stand still.
+	 * @param head the record of the group's head
+	 */
+	void suspect(EndpointRecord head) {
+		if (this.held && head.zone().equals(this.zone)) {
+			this.view.groupsOf(this.zone)
+				.groups()
+				.groupOf(ReplicaGroup.MemberVm.of(head))
+				.ifPresent((group) -> this.inspector.inspect(records(group)));
+		}
+	}
+
+	private List<EndpointRecord> records(ReplicaGroup group) {
+		return group.members()
+			.stream()
+			.map((member) -> this.view.endpoints().get(member.id()))
+			.filter((record) -> record != null && group.members().contains(ReplicaGroup.MemberVm.of(record)))
+			.toList();
+	}
+
 	// Plans and gives the orders that are due.
 	void step() {
 		boolean holds = this.election.held();
@@ -111,6 +148,7 @@
 			this.held = holds;
 			this.planned = null;
 			this.desk.forget();
+			this.inspector.forget();
 			this.lostHeads.clear();
 			this.log.record(LogEvent.PLANNER_ROLE, "zone", this.zone, "held", holds);
 		}
@@ -135,6 +173,15 @@
 			.stream()
 			.filter((record) -> record.service().equals(service.name()) && record.zone().equals(this.zone))
 			.toList();
+		this.inspector.step(endpoints,
+				present.groups()
+					.groups()
+					.stream()
+					.map((group) -> group.head().incarnation())
+					.collect(Collectors.toSet()));
+		List<EndpointRecord> answering = endpoints.stream()
+			.filter((record) -> !this.inspector.missing(record))
+			.toList();
 		int fleetVms = (int) this.view.endpoints()
 			.values()
 			.stream()
@@ -143,7 +190,7 @@
 		Map<String, String> staging = this.desk.staging(endpoints);
 		int concurrentLoads = -Math.floorDiv(-engine.concurrentLoads(), Math.max(1, this.settings.zones().size()));
 		ReplicaPlanner.Plan plan = ReplicaPlanner
-			.plan(new ReplicaPlanner.Situation(this.zone, engine, endpoints, present.groups(), fates(present.groups()),
+			.plan(new ReplicaPlanner.Situation(this.zone, engine, answering, present.groups(), fates(present.groups()),
 					this.desk::busy, staging, Math.max(0, concurrentLoads - staging.size()), vmsElsewhere(), fleetVms));
 		if (plan.groups().equals(present.groups())) {
 			give(plan, engine);
@@ -160,6 +207,7 @@
 			.stream()
 			.filter((entry) -> !entry.getKey().equals(this.zone))
 			.flatMap((entry) -> entry.getValue().groups().groups().stream())
+			.filter((group) -> this.view.endpoints().containsKey(group.head().id()))
 			.forEach((group) -> vms.merge(group.model(), group.members().size(), Integer::sum));
 		return vms;
 	}
@@ -199,68 +247,101 @@
 	}
 
 	// Judges heads whose records are gone, asking those that may still be reached to
-	// close.
+	// close. Their silence is watched from the moment at which they are missing.
 	private Map<String, HeadFate> fates(ZoneGroups groups) {
 		Map<String, HeadFate> fates = new HashMap<>();
-		long now = EventLoop.nowMillis();
 		groups.groups().forEach((group) -> {
 			ReplicaGroup.MemberVm head = group.head();
 			EndpointRecord present = this.view.endpoints().get(head.id());
-			if (present != null && present.bornMillis() == head.bornMillis()) {
-				this.lostHeads.remove(group.name());
-				return;
+			if (present == null) {
+				LostHead lost = watch(group);
+				askToClose(group, lost);
+				fates.put(group.name(), lost.fate(goneMillis()));
 			}
-			LostHead lost = this.lostHeads.computeIfAbsent(group.name(), (absent) -> new LostHead(now));
-			if (present != null) {
+			else if (present.bornMillis() != head.bornMillis()) {
 				fates.put(group.name(), HeadFate.DEAD);
-				return;
 			}
-			askToClose(group, lost, now);
-			boolean silent = now - lost.sinceMillis > this.settings.limits().stallMillis() + HEAD_GONE_MARGIN_MILLIS
-					&& !lost.answered;
-			fates.put(group.name(), lost.closed ? HeadFate.CLOSED : (silent ? HeadFate.DEAD : HeadFate.UNKNOWN));
+			else if (this.inspector.missing(present)) {
+				watch(group);
+			}
+			else {
+				this.lostHeads.remove(group.name());
+			}
 		});
 		this.lostHeads.keySet()
 			.removeIf((name) -> groups.groups().stream().noneMatch((group) -> group.name().equals(name)));
 		return fates;
 	}
 
-	private void askToClose(ReplicaGroup group, LostHead lost, long now) {
+	private long goneMillis() {
+		return this.settings.limits().stallMillis() + HEAD_GONE_MARGIN_MILLIS;
+	}
+
+	private LostHead watch(ReplicaGroup group) {
+		long now = EventLoop.nowMillis();
+		String head = group.head().incarnation();
+		LostHead lost = this.lostHeads.computeIfAbsent(group.name(),
+				(absent) -> new LostHead(this.inspector.silentSinceMillis(head).orElse(now)));
+		List<EndpointRecord> others = records(group).stream()
+			.filter((record) -> !record.incarnation().equals(head))
+			.toList();
+		this.inspector.inspect(others);
+		lost.silence.membersAnswered(others.stream()
+			.map((record) -> this.inspector.answeredMillis(record.incarnation()))
+			.filter(OptionalLong::isPresent)
+			.mapToLong(OptionalLong::getAsLong)
+			.max(), now);
+		return lost;
+	}
+
+	private void askToClose(ReplicaGroup group, LostHead lost) {
+		long now = EventLoop.nowMillis();
 		Optional<EndpointRecord> last = Optional.ofNullable(this.lastRecords.get(group.head().incarnation()));
-		if (last.isEmpty() || lost.asking || now - lost.askedMillis < CLOSE_RETRY_MILLIS) {
+		if (last.isEmpty() || lost.asking || now - lost.askedMillis < lost.pauseMillis) {
 			return;
 		}
+		lost.pauseMillis = Math.min(LONGEST_CLOSE_RETRY_MILLIS, 2 * lost.pauseMillis);
 		lost.asking = true;
 		lost.askedMillis = now;
-		this.engines.orderCount(last.get())
+		this.engines.orderCount(last.get(), OrderDesk.REPORT_TIMEOUT_MILLIS)
 			.thenCompose(
 					(count) -> this.engines.order(last.get(), GroupOrder.of(GroupOrder.Action.CLOSE, group), count))
 			.whenCompleteAsync((outcome, failure) -> {
 				lost.asking = false;
 				boolean answered = failure == null && outcome != GroupOrder.Outcome.UNANSWERED
 						&& outcome != GroupOrder.Outcome.MOVED;
-				lost.answered = answered;
+				if (answered) {
+					lost.silence.headAnswered(EventLoop.nowMillis());
+				}
 				lost.closed = outcome == GroupOrder.Outcome.DONE || outcome == GroupOrder.Outcome.MOVED;
 			}, this.control);
 	}
 
 	/**
-	 * A head whose record is gone.
+	 * A head that is missing or has no record.
 	 */
 	private static final class LostHead {
 
-		private final long sinceMillis;
+		private final HeadSilence silence;
+
+		private final long goneSinceMillis = EventLoop.nowMillis();
+
+		private long pauseMillis = CLOSE_RETRY_MILLIS;
 
 		private long askedMillis;
 
 		private boolean asking;
 
-		private boolean answered;
-
 		private boolean closed;
 
-		private LostHead(long sinceMillis) {
-			this.sinceMillis = sinceMillis;
+		private LostHead(long silentSinceMillis) {
+			this.silence = new HeadSilence(silentSinceMillis);
+		}
+
+		private HeadFate fate(long goneMillis) {
+			long now = EventLoop.nowMillis();
+			boolean gone = this.silence.longerThan(goneMillis, now) || now - this.goneSinceMillis > FORGET_MILLIS;
+			return this.closed ? HeadFate.CLOSED : (gone ? HeadFate.DEAD : HeadFate.UNKNOWN);
 		}
 
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
 import org.monsoonvalve.core.connection.EventLoop;
@@ -19,6 +20,7 @@
 import org.monsoonvalve.gateway.connection.EndpointSet;
 import org.monsoonvalve.gateway.process.DecisionLog;
 import org.monsoonvalve.gateway.process.GatewaySettings;
+import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.ServiceProfile;
 
 /**
@@ -72,6 +74,8 @@
 
 	private final RequestMetrics metrics;
 
+	private final Consumer<EndpointRecord> onStall;
+
 	private final Map<String, RetryBudget> budgets = new HashMap<>();
 
 	private final Set<Exchange> running = new HashSet<>();
@@ -87,9 +91,10 @@
 	 * @param processes counts the processes that share those bounds
 	 * @param log receives decisions
 	 * @param metrics counts outcomes
+	 * @param onStall is told of endpoints at which requests stand still
 	 */
 	public Dispatcher(EventLoop loop, HeaderNames names, EndpointSet endpoints, GatewaySettings.Bounds bounds,
-			IntSupplier processes, DecisionLog log, RequestMetrics metrics) {
+			IntSupplier processes, DecisionLog log, RequestMetrics metrics, Consumer<EndpointRecord> onStall) {
 		this.loop = loop;
 		this.names = names;
 		this.endpoints = endpoints;
@@ -97,6 +102,7 @@
 		this.processes = processes;
 		this.log = log;
 		this.metrics = metrics;
+		this.onStall = onStall;
 	}
 
 	/**
@@ -197,6 +203,10 @@
 		}).orElse(PLAIN_STALL_MILLIS);
 	}
 
+	void stalled(Endpoint endpoint) {
+		this.onStall.accept(endpoint.record());
+	}
+
 	RetryBudget budget(String service) {
 		return this.budgets.computeIfAbsent(service, (absent) -> new RetryBudget(this.bounds.retryRatio(),
 				this.bounds.retrySlack(), this.bounds.retryWindowMillis(), this.processes, EventLoop::nowMillis));
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -253,6 +253,7 @@
 
 	private void stalled(Attempt attempt, long silentMillis) {
 		attempt.endpoint.suspect();
+		this.dispatcher.stalled(attempt.endpoint);
 		if (!freeElsewhere() || !repeatable()) {
 			return;
 		}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
@@ -224,6 +224,8 @@
 	private Map<String, Integer> vmsInGroups() {
 		Map<String, Integer> vms = new HashMap<>(this.situation.vmsElsewhere());
 		this.groups.groups()
+			.stream()
+			.filter((group) -> this.situation.record(group.head()).isPresent())
 			.forEach((group) -> vms.merge(group.givesWay() ? group.successor() : group.model(), group.members().size(),
 					Integer::sum));
 		return vms;
@@ -246,14 +248,21 @@
 		return this.situation.endpoints()
 			.stream()
 			.filter((record) -> !record.draining() && !taken.contains(ReplicaGroup.MemberVm.of(record)))
-			.filter((record) -> record.membership()
-				.filter((place) -> place.rank() == 0 && place.state().active())
-				.isEmpty())
+			.filter((record) -> record.membership().filter(this::headServes).isEmpty())
 			.filter(wanted)
 			.sorted(Comparator.comparing(EndpointRecord::id))
 			.collect(Collectors.groupingBy(EndpointRecord::domain, TreeMap::new, Collectors.toList()));
 	}
 
+	// Tells whether a group has a head that may be running requests, planned or not.
+	private boolean headServes(GroupMembership place) {
+		return this.situation.endpoints()
+			.stream()
+			.flatMap((record) -> record.membership().stream())
+			.anyMatch((head) -> head.rank() == 0 && head.state().active() && head.group().equals(place.group())
+					&& head.epoch() == place.epoch());
+	}
+
 	private void stageWeights() {
 		int allowance = this.situation.loadAllowance();
 		Map<String, Integer> vms = vmsInGroups();
