--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
@@ -40,8 +40,17 @@
 
 	private ZoneGroups groups;
 
+	// Epochs of groups whose heads may be running requests, planned or not.
+	private final Set<Long> serving;
+
 	private ReplicaPlanner(Situation situation) {
 		this.situation = situation;
+		this.serving = situation.endpoints()
+			.stream()
+			.flatMap((record) -> record.membership().stream())
+			.filter((place) -> place.rank() == 0 && place.state().active())
+			.map(GroupMembership::epoch)
+			.collect(Collectors.toSet());
 		this.groups = situation.groups();
 	}
 
@@ -248,21 +257,12 @@
 		return this.situation.endpoints()
 			.stream()
 			.filter((record) -> !record.draining() && !taken.contains(ReplicaGroup.MemberVm.of(record)))
-			.filter((record) -> record.membership().filter(this::headServes).isEmpty())
+			.filter((record) -> record.membership().filter((place) -> this.serving.contains(place.epoch())).isEmpty())
 			.filter(wanted)
 			.sorted(Comparator.comparing(EndpointRecord::id))
 			.collect(Collectors.groupingBy(EndpointRecord::domain, TreeMap::new, Collectors.toList()));
 	}
 
-	// Tells whether a group has a head that may be running requests, planned or not.
-	private boolean headServes(GroupMembership place) {
-		return this.situation.endpoints()
-			.stream()
-			.flatMap((record) -> record.membership().stream())
-			.anyMatch((head) -> head.rank() == 0 && head.state().active() && head.group().equals(place.group())
-					&& head.epoch() == place.epoch());
-	}
-
 	private void stageWeights() {
 		int allowance = this.situation.loadAllowance();
 		Map<String, Integer> vms = vmsInGroups();
