Balance the models in each zone by itself

Cause: planners of the zones start at the same time and don't see one another's groups, so the share of the large model varied from 24 to 32 of 60 VMs with timing, and one zone carried half of its groups; domains kept one model together. Ruled out: one planner for all zones, which would stop with its zone. Change: formation and staging look at the zone's own VMs; only groups that give way are judged over all zones. Domains no longer keep a model together, as small groups in the same domain complete the large ones now. A group that gives way is logged as such.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
@@ -161,7 +161,10 @@
 	MEMBER_MISSING(6306, Level.WARN, "a member is missing"),
 
 	/** A missing member answered again. */
-	MEMBER_BACK(6307, Level.INFO, "a missing member is back");
+	MEMBER_BACK(6307, Level.INFO, "a missing member is back"),
+
+	/** A group closes so that another model can have its VMs. */
+	GROUP_GIVES_WAY(6308, Level.INFO, "a group gives way to another model");
 
 	private final int number;
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
@@ -182,16 +182,11 @@
 		List<EndpointRecord> answering = endpoints.stream()
 			.filter((record) -> !this.inspector.missing(record))
 			.toList();
-		int fleetVms = (int) this.view.endpoints()
-			.values()
-			.stream()
-			.filter((record) -> record.service().equals(service.name()))
-			.count();
 		Map<String, String> staging = this.desk.staging(endpoints);
 		int concurrentLoads = -Math.floorDiv(-engine.concurrentLoads(), Math.max(1, this.settings.zones().size()));
 		ReplicaPlanner.Plan plan = ReplicaPlanner
 			.plan(new ReplicaPlanner.Situation(this.zone, engine, answering, present.groups(), fates(present.groups()),
-					this.desk::busy, staging, Math.max(0, concurrentLoads - staging.size()), vmsElsewhere(), fleetVms));
+					this.desk::busy, staging, Math.max(0, concurrentLoads - staging.size()), vmsElsewhere()));
 		if (plan.groups().equals(present.groups())) {
 			give(plan, engine);
 		}
@@ -236,8 +231,9 @@
 			.groups()
 			.stream()
 			.filter((group) -> !before.groups().contains(group))
-			.forEach((group) -> this.log.record(LogEvent.GROUP_PLANNED, "group", group.name(), "model", group.model(),
-					"members", group.members().stream().map(ReplicaGroup.MemberVm::id).toList()));
+			.forEach((group) -> this.log.record(group.givesWay() ? LogEvent.GROUP_GIVES_WAY : LogEvent.GROUP_PLANNED,
+					"group", group.name(), "model", group.model(), "members",
+					group.members().stream().map(ReplicaGroup.MemberVm::id).toList()));
 	}
 
 	private void give(ReplicaPlanner.Plan plan, EngineProfile engine) {
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
@@ -174,7 +174,7 @@
 	// Completes a group of the model that is shortest of VMs with those of other models'
 	// groups in the same domain, if those models still have more for their share then.
 	private void reassign() {
-		Map<String, Integer> vms = vmsInGroups();
+		Map<String, Integer> vms = vmsInGroups(this.situation.vmsElsewhere());
 		ModelProfile wanted = byNeed(vms).get(0);
 		for (Map.Entry<String, List<EndpointRecord>> domain : freeByDomain((record) -> true).entrySet()) {
 			long free = domain.getValue().stream().filter((record) -> record.holds(wanted.name())).count();
@@ -224,14 +224,15 @@
 			.count();
 	}
 
-	// Lists the models by the VMs for their share that they would have with one more
-	// group, the fewest first.
+	// Lists the models by the VMs of this zone for their share that they would have with
+	// one more group, the fewest first. Each zone carries all models, so that it can
+	// serve alone.
 	private List<ModelProfile> byNeed() {
-		return byNeed(vmsInGroups());
+		return byNeed(vmsInGroups(Map.of()));
 	}
 
-	private Map<String, Integer> vmsInGroups() {
-		Map<String, Integer> vms = new HashMap<>(this.situation.vmsElsewhere());
+	private Map<String, Integer> vmsInGroups(Map<String, Integer> elsewhere) {
+		Map<String, Integer> vms = new HashMap<>(elsewhere);
 		this.groups.groups()
 			.stream()
 			.filter((group) -> this.situation.record(group.head()).isPresent())
@@ -265,7 +266,7 @@
 
 	private void stageWeights() {
 		int allowance = this.situation.loadAllowance();
-		Map<String, Integer> vms = vmsInGroups();
+		Map<String, Integer> vms = vmsInGroups(Map.of());
 		Map<String, List<EndpointRecord>> free = freeByDomain((record) -> true);
 		free.values()
 			.forEach((records) -> records
@@ -276,9 +277,8 @@
 			List<EndpointRecord> empty = new ArrayList<>(records.stream()
 				.filter((record) -> planned(record).isEmpty() && !this.situation.busy().test(record))
 				.toList());
-			Map<String, Long> presence = modelsIn(records.get(0).domain());
 			while (allowance > 0 && !empty.isEmpty()) {
-				String model = nextToStage(held, vms, empty.size(), presence);
+				String model = nextToStage(held, vms, empty.size());
 				this.orders.add(new Order(empty.remove(0), GroupOrder.stage(model)));
 				held.merge(model, 1, Integer::sum);
 				vms.merge(model, 1, Integer::sum);
@@ -376,33 +376,17 @@
 			.or(() -> record.staged().stream().findFirst());
 	}
 
-	// Counts the VMs of a domain that are in groups, by model.
-	private Map<String, Long> modelsIn(String domain) {
-		return this.situation.endpoints()
-			.stream()
-			.filter((record) -> record.domain().equals(domain))
-			.flatMap((record) -> this.groups.groupOf(ReplicaGroup.MemberVm.of(record)).stream())
-			.collect(Collectors.groupingBy(ReplicaGroup::model, Collectors.counting()));
-	}
-
-	// Chooses the model that completes a group of a domain's free VMs. Among several, one
-	// that the domain carries already goes first while it is short of its share, since
-	// survivors of broken groups can merge only with others of their model and domain;
-	// otherwise that with the fewest VMs for its share.
-	private String nextToStage(Map<String, Integer> held, Map<String, Integer> vms, int empty,
-			Map<String, Long> presence) {
+	// Chooses the model that completes a group of a domain's free VMs; among several,
+	// that
+	// with the fewest VMs for its share.
+	private String nextToStage(Map<String, Integer> held, Map<String, Integer> vms, int empty) {
 		List<ModelProfile> models = byNeed(vms);
 		Predicate<ModelProfile> begun = (model) -> held.getOrDefault(model.name(), 0) % model.groupSize() != 0;
 		Predicate<ModelProfile> completes = (
 				model) -> model.groupSize() - held.getOrDefault(model.name(), 0) % model.groupSize() <= empty;
-		Predicate<ModelProfile> present = (model) -> presence.containsKey(model.name())
-				|| held.containsKey(model.name());
-		Predicate<ModelProfile> shortOfShare = (model) -> vms.getOrDefault(model.name(), 0)
-				+ model.groupSize() <= model.share() * this.situation.fleetVms();
 		return models.stream()
 			.filter(begun.and(completes))
 			.findFirst()
-			.or(() -> models.stream().filter(completes.and(present).and(shortOfShare)).findFirst())
 			.or(() -> models.stream().filter(completes).findFirst())
 			.orElse(models.get(0))
 			.name();
@@ -420,11 +404,10 @@
 	 * @param staging models being loaded, by incarnation
 	 * @param loadAllowance loads that may begin now
 	 * @param vmsElsewhere VMs in the groups of other zones, by model
-	 * @param fleetVms the engines' VMs of all zones
 	 */
 	public record Situation(String zone, EngineProfile engine, List<EndpointRecord> endpoints, ZoneGroups groups,
 			Map<String, HeadFate> fates, Predicate<EndpointRecord> busy, Map<String, String> staging, int loadAllowance,
-			Map<String, Integer> vmsElsewhere, int fleetVms) {
+			Map<String, Integer> vmsElsewhere) {
 
 		private Optional<EndpointRecord> record(ReplicaGroup.MemberVm member) {
 			return this.endpoints.stream()
