Keep the planner's role over an outage of the store and over a restart

Ruled out: a shorter lease; it makes more changes of the role and does not help while the store pauses leases. Change: a term whose renewal gets no answer is kept, without being valid; a later successful renewal shows that nobody else had the role. A candidate takes over at once from an earlier process of its own name and address. Tests: LeaseElectionTests, both cases.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
@@ -1,6 +1,7 @@
 package org.monsoonvalve.core.process;
 
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -33,6 +34,8 @@
 
 	private final String key;
 
+	private final String name;
+
 	private final String candidate;
 
 	private final AtomicReference<Term> term = new AtomicReference<>();
@@ -41,7 +44,8 @@
 		this.platform = platform;
 		this.clock = clock;
 		this.key = key;
-		this.candidate = candidate + "/" + UUID.randomUUID();
+		this.name = candidate + "/";
+		this.candidate = this.name + UUID.randomUUID();
 	}
 
 	/**
@@ -65,11 +69,21 @@
 		if (held != null && !renew(held)) {
 			this.term.compareAndSet(held, null);
 		}
-		if (this.term.get() == null && candidate && vacant()) {
-			campaign();
+		if (this.term.get() == null && candidate) {
+			claimableRevision().ifPresent(this::campaign);
 		}
 	}
 
+	/**
+	 * Tells whether a holder is an earlier process of this candidate, whose role this one
+	 * may take over at once. Names must be unique among running processes.
+	 * @param holder the value of the role's key
+	 * @return {@code true} if the holder has this candidate's name
+	 */
+	public boolean succeeds(String holder) {
+		return holder.startsWith(this.name);
+	}
+
 	/**
 	 * Tells whether this process holds the role at this moment.
 	 * @return {@code true} if its last renewal is recent enough
@@ -102,28 +116,37 @@
 		ElapsedClock.Reading start = this.clock.now();
 		try {
 			if (await(this.platform.renewLease(held.leaseId()))) {
-				this.term.compareAndSet(held, new Term(held.leaseId(), held.acquired(), start));
+				boolean unbroken = this.clock.elapsedMillis(held.renewed()) < VALID_MILLIS;
+				this.term.compareAndSet(held, new Term(held.leaseId(), unbroken ? held.acquired() : start, start));
 				return true;
 			}
 			return false;
 		}
 		catch (ServingException ex) {
-			return this.clock.elapsedMillis(held.renewed()) < TimeUnit.SECONDS.toMillis(TTL_SECONDS);
+			// The lease may last at the platform, as while the platform is away; a later
+			// renewal shows that nobody else had it.
+			return true;
 		}
 	}
 
-	private boolean vacant() {
+	// The revision that a claim has to name: 0 without a holder, that of the key when an
+	// earlier process of this candidate left it, none while somebody else holds it.
+	private OptionalLong claimableRevision() {
 		try {
 			return await(this.platform.read(this.key, 0)).entries()
 				.stream()
-				.noneMatch((entry) -> entry.key().equals(this.key));
+				.filter((entry) -> entry.key().equals(this.key))
+				.findFirst()
+				.map((entry) -> succeeds(new String(entry.value(), StandardCharsets.UTF_8))
+						? OptionalLong.of(entry.revision()) : OptionalLong.empty())
+				.orElse(OptionalLong.of(0));
 		}
 		catch (ServingException ex) {
-			return false;
+			return OptionalLong.empty();
 		}
 	}
 
-	private void campaign() {
+	private void campaign(long revision) {
 		ElapsedClock.Reading start = this.clock.now();
 		long leaseId;
 		try {
@@ -133,7 +156,7 @@
 			return;
 		}
 		String value = this.candidate + "/" + leaseId;
-		if (claim(value, leaseId)) {
+		if (claim(value, revision, leaseId)) {
 			this.term.set(new Term(leaseId, this.clock.now(), start));
 		}
 		else {
@@ -141,10 +164,10 @@
 		}
 	}
 
-	private boolean claim(String value, long leaseId) {
+	private boolean claim(String value, long revision, long leaseId) {
 		byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
 		try {
-			PlatformStore.WriteResult result = await(this.platform.write(this.key, 0, bytes, leaseId));
+			PlatformStore.WriteResult result = await(this.platform.write(this.key, revision, bytes, leaseId));
 			return result.succeeded();
 		}
 		catch (ServingException ex) {
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/LeaseElectionTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/LeaseElectionTests.java
@@ -49,6 +49,33 @@
 		Assert.assertFalse(this.first.held());
 	}
 
+	@Test
+	public void theHolderGoesOnWhenThePlatformKeptItsLease() {
+		this.first.tick(true);
+		this.platform.down(true);
+		for (int i = 0; i < 8; i++) {
+			this.wall.advance(1000);
+			this.first.tick(true);
+		}
+		Assert.assertFalse(this.first.held());
+		this.platform.down(false);
+		this.first.tick(true);
+		Assert.assertTrue(this.first.held());
+		Assert.assertEquals(this.first.heldMillis(), 0, "it was not held all the while");
+	}
+
+	@Test
+	public void aRestartedHolderTakesOverFromItsEarlierProcess() {
+		this.first.tick(true);
+		LeaseElection restarted = LeaseElection.of(this.platform, ElapsedClock.of(this.wall), "role",
+				NodeId.of("first"));
+		LeaseElection similar = LeaseElection.of(this.platform, ElapsedClock.of(this.wall), "role", NodeId.of("firs"));
+		similar.tick(true);
+		Assert.assertFalse(similar.held());
+		restarted.tick(true);
+		Assert.assertTrue(restarted.held());
+	}
+
 	@Test
 	public void aLapsedLeaseGoesToAnotherCandidate() {
 		this.first.tick(true);
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetViewBuilder.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetViewBuilder.java
@@ -1,5 +1,6 @@
 package org.monsoonvalve.gateway.process;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -40,13 +41,14 @@
 		Map<String, EndpointRecord> endpoints = new HashMap<>();
 		Map<String, Member> members = new HashMap<>();
 		Map<String, FleetView.Planned> groups = new HashMap<>();
-		Set<String> roles = new HashSet<>();
+		Map<String, String> roles = new HashMap<>();
 		ServingConfiguration configuration = null;
 		long configurationRevision = 0;
 		this.decoded.keySet()
 			.retainAll(replica.entries().stream().map(PlatformStore.Entry::key).collect(Collectors.toSet()));
 		for (PlatformStore.Entry entry : replica.entries()) {
-			OwnKeys.LEASES.name(entry.key()).ifPresent(roles::add);
+			OwnKeys.LEASES.name(entry.key())
+				.ifPresent((role) -> roles.put(role, new String(entry.value(), StandardCharsets.UTF_8)));
 			Object fact = decode(entry);
 			if (fact instanceof ServingConfiguration found) {
 				configuration = found;
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -126,7 +126,8 @@
 				this::processes, log, new RequestMetrics(this.registry), this::suspect);
 		ElapsedClock clock = ElapsedClock.system();
 		this.zones = settings.zones().stream().map((zone) -> {
-			LeaseElection election = LeaseElection.of(store, clock, "planner-" + zone, NodeId.of(settings.name()));
+			LeaseElection election = LeaseElection.of(store, clock, "planner-" + zone,
+					NodeId.of(settings.name() + "@" + settings.peers()));
 			return new Zone(zone, election,
 					new ZonePlanner(zone, settings, store, engines, election, this.control, log));
 		}).toList();
@@ -206,7 +207,8 @@
 			boolean own = zone.name().equals(this.settings.get().zone());
 			boolean unattended = !known.members().isEmpty()
 					&& known.members().values().stream().noneMatch((member) -> member.zone().equals(zone.name()));
-			boolean vacant = !known.heldRoles().contains("planner-" + zone.name());
+			String holder = known.roleHolders().get("planner-" + zone.name());
+			boolean vacant = holder == null || zone.election().succeeds(holder);
 			zone.election().tick((own || unattended) && vacant);
 		});
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/FleetView.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/FleetView.java
@@ -15,11 +15,11 @@
  * @param endpoints the endpoints by identifier
  * @param members the processes of the system by name
  * @param groups the planned groups by availability zone, with the revision of each value
- * @param heldRoles the roles that some process holds by a lease
+ * @param roleHolders the holders of roles that some process has by a lease
  */
 public record FleetView(long revision, Optional<ServingConfiguration> configuration, long configurationRevision,
 		Set<String> evacuatedZones, Map<String, EndpointRecord> endpoints, Map<String, Member> members,
-		Map<String, Planned> groups, Set<String> heldRoles) {
+		Map<String, Planned> groups, Map<String, String> roleHolders) {
 
 	/**
 	 * Copies the collections.
@@ -29,7 +29,7 @@
 		endpoints = Map.copyOf(endpoints);
 		members = Map.copyOf(members);
 		groups = Map.copyOf(groups);
-		heldRoles = Set.copyOf(heldRoles);
+		roleHolders = Map.copyOf(roleHolders);
 	}
 
 	/**
@@ -37,7 +37,7 @@
 	 * @return the empty view
 	 */
 	public static FleetView empty() {
-		return new FleetView(0, Optional.empty(), 0, Set.of(), Map.of(), Map.of(), Map.of(), Set.of());
+		return new FleetView(0, Optional.empty(), 0, Set.of(), Map.of(), Map.of(), Map.of(), Map.of());
 	}
 
 	/**
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -119,7 +119,7 @@
 		EndpointSet endpoints = new EndpointSet("near", (record) -> new Endpoint(record, this.client, () -> {
 		}), log);
 		endpoints
-			.update(new FleetView(1, Optional.of(configuration), 1, Set.of(), records, Map.of(), Map.of(), Set.of()));
+			.update(new FleetView(1, Optional.of(configuration), 1, Set.of(), records, Map.of(), Map.of(), Map.of()));
 		this.dispatcher = new Dispatcher(this.loop, ForwardedHeadersTests.NAMES, endpoints,
 				new GatewaySettings.Bounds(8000, 0.2, 10_000, 100, 1.5, 5, 5000), () -> 1, log,
 				new RequestMetrics(new MetricRegistry()), this.stalled::add);
