Choose evenly among equal endpoints and let reports fade into the average

Ruled out: too few groups; servers were idle beside the busy ones (busiest to mean 7.7). Change: ties are broken at random; the load that an answer reported fades, within a second, into the average of the endpoints' reports instead of into none. Tests: EndpointSetTests, even shares failing first (one endpoint of 20 was used), for the pattern of many processes that each see few requests.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
@@ -35,6 +35,12 @@
 	/** Life of a reported load: after it, other callers' requests may have ended. */
 	private static final long LOAD_LIFE_MILLIS = 500;
 
+	/** Time in which a report fades; streams last about a second. */
+	private static final double REPORT_FADE_MILLIS = 1000;
+
+	/** Age of reports that still count for the average. */
+	private static final long REPORT_LIFE_MILLIS = 3000;
+
 	private static final long SECOND_MILLIS = 1000;
 
 	private final HttpClient client;
@@ -193,6 +199,27 @@
 		return this.outstanding + ((nowMillis - this.reportMillis < LOAD_LIFE_MILLIS) ? this.othersAtReport : 0);
 	}
 
+	/**
+	 * Returns the requests of other callers that the last report showed.
+	 * @param nowMillis the present time of the event loop, in milliseconds
+	 * @return the requests, -1 if the report is too old to tell anything
+	 */
+	int reportedOthers(long nowMillis) {
+		return (nowMillis - this.reportMillis < REPORT_LIFE_MILLIS) ? this.othersAtReport : -1;
+	}
+
+	/**
+	 * Estimates the requests at the endpoint, of all callers, for a choice among
+	 * endpoints. What a report showed fades into what endpoints have on average.
+	 * @param meanOthers the other callers' requests at an endpoint on average
+	 * @param nowMillis the present time of the event loop, in milliseconds
+	 * @return the requests expected
+	 */
+	double expectedLoad(double meanOthers, long nowMillis) {
+		double weight = Math.exp(-(nowMillis - this.reportMillis) / REPORT_FADE_MILLIS);
+		return this.outstanding + meanOthers + (this.othersAtReport - meanOthers) * weight;
+	}
+
 	/**
 	 * Avoids the endpoint for some time, longer each time until it answers something.
 	 */
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
@@ -124,17 +125,30 @@
 	 */
 	public Optional<Endpoint> choose(List<Endpoint> candidates, Predicate<Endpoint> usable) {
 		long now = EventLoop.nowMillis();
+		double meanOthers = candidates.stream()
+			.mapToInt((endpoint) -> endpoint.reportedOthers(now))
+			.filter((others) -> others >= 0)
+			.average()
+			.orElse(0);
 		return candidates.stream()
 			.filter(usable)
-			.min(Comparator
-				.<Endpoint, Boolean>comparing(
-						(endpoint) -> endpoint.suspected(now) || endpoint.silentMillis(now) > SILENCE_MILLIS)
-				.thenComparingInt((endpoint) -> cost(endpoint, now))
-				.thenComparingInt((endpoint) -> endpoint.record().incarnation().hashCode() ^ (int) now));
+			.map((endpoint) -> ranked(endpoint, meanOthers, now))
+			.min(Comparator.comparing(Ranked::avoided)
+				.thenComparingDouble(Ranked::cost)
+				.thenComparingDouble(Ranked::tieBreak))
+			.map(Ranked::endpoint);
 	}
 
-	private int cost(Endpoint endpoint, long nowMillis) {
-		return endpoint.load(nowMillis) + (endpoint.record().zone().equals(this.zone) ? 0 : ZONE_PREFERENCE);
+	private Ranked ranked(Endpoint endpoint, double meanOthers, long nowMillis) {
+		boolean avoided = endpoint.suspected(nowMillis) || endpoint.silentMillis(nowMillis) > SILENCE_MILLIS;
+		double cost = endpoint.expectedLoad(meanOthers, nowMillis)
+				+ (endpoint.record().zone().equals(this.zone) ? 0 : ZONE_PREFERENCE);
+		return new Ranked(endpoint, avoided, cost, ThreadLocalRandom.current().nextDouble());
+	}
+
+	// Equals are tried in random order, as many processes choose at the same moment.
+	private record Ranked(Endpoint endpoint, boolean avoided, double cost, double tieBreak) {
+
 	}
 
 }
--- /dev/null
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointSetTests.java
@@ -0,0 +1,94 @@
+package org.monsoonvalve.gateway.connection;
+
+import java.io.IOException;
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.EventLoop;
+import org.monsoonvalve.core.connection.HttpClient;
+import org.monsoonvalve.gateway.process.DecisionLog;
+import org.monsoonvalve.gateway.version.EndpointRecord;
+import org.monsoonvalve.gateway.version.FleetView;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class EndpointSetTests {
+
+	private static final int ENDPOINTS = 40;
+
+	private EventLoop loop;
+
+	private HttpClient client;
+
+	private EndpointSet endpoints;
+
+	@BeforeMethod
+	public void start() {
+		this.loop = EventLoop.start((failure) -> {
+			throw new IllegalStateException(failure);
+		});
+		this.client = HttpClient.start(this.loop, 300);
+		DecisionLog log = DecisionLog.start(Clock.systemUTC(), "gateway-1", (line) -> {
+		});
+		this.endpoints = new EndpointSet("near", (record) -> new Endpoint(record, this.client, () -> {
+		}), log);
+		Map<String, EndpointRecord> records = new HashMap<>();
+		IntStream.range(0, ENDPOINTS)
+			.forEach((i) -> records.put("vm-" + i, new EndpointRecord("vm-" + i, "s", new Address("127.0.0.1", 1),
+					(i % 2 == 0) ? "near" : "far", 6, false, 0, 1, "", List.of(), List.of(), Optional.empty(), 1)));
+		this.endpoints.update(new FleetView(1, Optional.empty(), 0, Set.of(), records, Map.of(), Map.of(), Map.of()));
+	}
+
+	@AfterMethod
+	public void stop() throws IOException {
+		this.client.close();
+	}
+
+	private Endpoint choose() {
+		return this.endpoints.choose(this.endpoints.eligible("s", Optional.empty()), (endpoint) -> true).get();
+	}
+
+	// Load pattern: many processes, each of which sees few requests, so that all
+	// endpoints
+	// look idle to each.
+	@Test
+	public void endpointsThatLookAlikeGetEvenShares() {
+		int requests = 20_000;
+		Map<String, Long> shares = IntStream.range(0, requests)
+			.mapToObj((i) -> choose().record().id())
+			.collect(Collectors.groupingBy((id) -> id, Collectors.counting()));
+		Assert.assertEquals(shares.size(), ENDPOINTS / 2, "all endpoints of the own zone");
+		double even = requests / (ENDPOINTS / 2.0);
+		shares.forEach((id, share) -> Assert.assertEquals(share, even, even / 4, id));
+	}
+
+	@Test
+	public void anEndpointThatReportedMoreLoadThanOthersIsAvoided() {
+		List<Endpoint> near = this.endpoints.eligible("s", Optional.empty())
+			.stream()
+			.filter((endpoint) -> endpoint.record().zone().equals("near"))
+			.toList();
+		near.get(0).reported(12);
+		near.get(1).reported(2);
+		IntStream.range(0, 500).forEach((i) -> Assert.assertSame(choose(), near.get(1), "the others are unknown"));
+	}
+
+	@Test
+	public void anEndpointOfAnotherZoneIsUsedWhenTheOwnZoneIsBusier() {
+		this.endpoints.eligible("s", Optional.empty())
+			.stream()
+			.filter((endpoint) -> endpoint.record().zone().equals("near"))
+			.forEach((endpoint) -> IntStream.range(0, 4).forEach((i) -> endpoint.begin()));
+		Assert.assertEquals(choose().record().zone(), "far");
+	}
+
+}
