Split the exchange of a request into attempt and answer

Change: Attempt follows the request at one endpoint, CallerAnswer writes what the caller gets, Exchange decides where the request goes. No behaviour is meant to change; ExchangeTests pass, and now also hold that the planner is told of a stall.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -1,6 +1,5 @@
 package org.monsoonvalve.gateway.request;
 
-import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -9,9 +8,7 @@
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.Headers;
 import org.monsoonvalve.core.connection.HttpCall;
-import org.monsoonvalve.core.connection.HttpConnection;
 import org.monsoonvalve.core.connection.IncomingCall;
-import org.monsoonvalve.core.connection.ReplyListener;
 import org.monsoonvalve.core.process.LogEvent;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
@@ -28,23 +25,9 @@
  */
 final class Exchange {
 
-	/**
-	 * Content of a plain answer that is held until it is whole; larger ones are relayed.
-	 */
-	private static final int HELD_BYTES = 64 * 1024;
-
 	/** Sends of one request, counting those that endpoints did not run. */
 	private static final int MAX_SENDS = 4;
 
-	/** Time between two looks at a stream; a quarter of the shortest stall. */
-	private static final long LOOK_MILLIS = 60;
-
-	private static final int SERVER_ERROR = 500;
-
-	private static final int MISDIRECTED = 421;
-
-	private static final int OK = 200;
-
 	private final Dispatcher dispatcher;
 
 	private final IncomingCall call;
@@ -67,8 +50,6 @@
 
 	private EventLoop.Timer deadline;
 
-	private EventLoop.Timer look;
-
 	private int sends;
 
 	private int runs;
@@ -77,17 +58,7 @@
 
 	private boolean done;
 
-	private Headers streamHead;
-
-	private boolean streamBegun;
-
-	private Optional<String> lastEventId;
-
-	private long firstByteMillis;
-
-	private long longestGapMillis;
-
-	private long relayedMillis;
+	private final CallerAnswer answer;
 
 	Exchange(Dispatcher dispatcher, IncomingCall call, Router.Match match) {
 		this.dispatcher = dispatcher;
@@ -96,7 +67,7 @@
 		this.route = match.route();
 		HeaderNames names = dispatcher.names();
 		this.requestId = call.headers().get(names.requestId()).orElse("");
-		this.lastEventId = call.headers().get(names.lastEventId());
+		this.answer = CallerAnswer.of(call, call.headers().get(names.lastEventId()));
 		this.model = match.service().engine().isPresent() ? call.headers().get(names.model()) : Optional.empty();
 		long asked = call.headers()
 			.get(names.deadlineMillis())
@@ -130,14 +101,14 @@
 			.record((this.sends == 1) ? LogEvent.REQUEST_SENT : LogEvent.REQUEST_SENT_AGAIN, "request", this.requestId,
 					"endpoint", endpoint.record().id(), "reason", reason, "candidates", candidates.size(), "load",
 					endpoint.load(EventLoop.nowMillis()), "view", this.dispatcher.endpoints().view().revision());
-		Attempt attempt = new Attempt(endpoint);
+		Attempt attempt = new Attempt(this, this.dispatcher, endpoint);
 		this.current = attempt;
 		attempt.connect();
 	}
 
 	// Goes on after an endpoint certainly did not run the request. Requests that arrived
 	// somewhere and were turned away count as repeats, too.
-	private void notRun(String reason, boolean arrived) {
+	void notRun(String reason, boolean arrived) {
 		if (this.done) {
 			return;
 		}
@@ -150,11 +121,11 @@
 	}
 
 	// Goes on after an endpoint may have run the request without a whole answer.
-	private void lost(Attempt attempt, String reason) {
+	void lost(Attempt attempt, String reason) {
 		if (this.done) {
 			return;
 		}
-		attempt.endpoint.suspect();
+		attempt.endpoint().suspect();
 		if (repeatable()) {
 			sendNext(reason);
 		}
@@ -169,6 +140,10 @@
 				&& this.dispatcher.budget(this.match.service().name()).tryRepeat();
 	}
 
+	void giveUp(ServingException failure) {
+		giveUp(failure, 0);
+	}
+
 	private void giveUp(ServingException failure, int candidates) {
 		end();
 		ServingException said = this.mayHaveRun ? failure.afterSending() : failure;
@@ -178,7 +153,7 @@
 					this.sends, "age_ms", EventLoop.nowMillis() - this.startMillis, "view",
 					this.dispatcher.endpoints().view().revision());
 		this.dispatcher.metrics().failed(this.route, said.code());
-		if (this.streamBegun) {
+		if (this.answer.begun()) {
 			this.call.abort();
 		}
 		else {
@@ -203,24 +178,23 @@
 		}
 	}
 
-	private void answered(int status) {
+	void answered(int status) {
 		long now = EventLoop.nowMillis();
 		end();
 		this.dispatcher.metrics()
-			.answered(this.route, status, ((this.firstByteMillis > 0) ? this.firstByteMillis : now) - this.startMillis,
+			.answered(this.route, status, this.answer.firstByteMillis().orElse(now) - this.startMillis,
 					now - this.startMillis);
 		this.dispatcher.log()
 			.record(LogEvent.REQUEST_ANSWERED, "request", this.requestId, "status", status, "sends", this.sends,
-					"first_ms", (this.firstByteMillis > 0) ? this.firstByteMillis - this.startMillis : -1, "gap_ms",
-					this.longestGapMillis, "age_ms", now - this.startMillis);
+					"first_ms",
+					this.answer.firstByteMillis().isPresent()
+							? this.answer.firstByteMillis().getAsLong() - this.startMillis : -1,
+					"gap_ms", this.answer.longestGapMillis(), "age_ms", now - this.startMillis);
 	}
 
 	private void end() {
 		this.done = true;
 		this.deadline.cancel();
-		if (this.look != null) {
-			this.look.cancel();
-		}
 		if (this.current != null) {
 			this.current.stop();
 			this.current = null;
@@ -228,7 +202,7 @@
 		this.dispatcher.ended(this);
 	}
 
-	private HttpCall callFor(Endpoint endpoint) {
+	HttpCall callFor(Endpoint endpoint) {
 		HeaderNames names = this.dispatcher.names();
 		Headers headers = ForwardedHeaders.ofRequest(this.call.headers(), names)
 			.with(names.deadlineMillis(), String.valueOf(Math.max(1, this.deadlineMillis - EventLoop.nowMillis())))
@@ -236,8 +210,9 @@
 		if (this.match.workspace().isPresent()) {
 			headers = headers.with(names.workspace(), this.match.workspace().get().name());
 		}
-		if (this.lastEventId.isPresent()) {
-			headers = headers.with(names.lastEventId(), this.lastEventId.get());
+		Optional<String> lastEventId = this.answer.lastEventId();
+		if (lastEventId.isPresent()) {
+			headers = headers.with(names.lastEventId(), lastEventId.get());
 		}
 		return new HttpCall(this.call.method(), this.call.target(), headers, this.call.body());
 	}
@@ -251,323 +226,60 @@
 					&& this.dispatcher.admits(this.match.service(), endpoint));
 	}
 
-	private void stalled(Attempt attempt, long silentMillis) {
-		attempt.endpoint.suspect();
-		this.dispatcher.stalled(attempt.endpoint);
+	void stalled(Attempt attempt, long silentMillis) {
+		attempt.endpoint().suspect();
+		this.dispatcher.stalled(attempt.endpoint());
 		if (!freeElsewhere() || !repeatable()) {
 			return;
 		}
 		this.dispatcher.log()
-			.record(LogEvent.ENDPOINT_SUSPECTED, "endpoint", attempt.endpoint.record().id(), "silent_ms", silentMillis,
-					"request", this.requestId);
+			.record(LogEvent.ENDPOINT_SUSPECTED, "endpoint", attempt.endpoint().record().id(), "silent_ms",
+					silentMillis, "request", this.requestId);
 		attempt.stop();
-		attempt.endpoint.closeIdle();
+		attempt.endpoint().closeIdle();
 		sendNext("stalled");
 	}
 
-	/**
-	 * The request at one endpoint.
-	 */
-	private final class Attempt implements ReplyListener {
-
-		private final Endpoint endpoint;
-
-		private HttpConnection connection;
-
-		private boolean sent;
-
-		private boolean stopped;
-
-		private int status;
-
-		private Headers headers;
-
-		private boolean relaying;
-
-		private final ByteArrayOutputStream held = new ByteArrayOutputStream();
-
-		private EventSplitter splitter;
-
-		private long progressMillis;
-
-		private Attempt(Endpoint endpoint) {
-			this.endpoint = endpoint;
-			endpoint.begin();
-		}
-
-		private void connect() {
-			this.endpoint.connect()
-				.whenComplete(
-						(opened, failure) -> Exchange.this.dispatcher.loop().run(() -> connected(opened, failure)));
-		}
-
-		private void connected(HttpConnection opened, Throwable failure) {
-			if (this.stopped) {
-				if (opened != null) {
-					this.endpoint.keep(opened);
-				}
-				return;
-			}
-			if (failure != null) {
-				stop();
-				this.endpoint.suspect();
-				notRun("can't connect", false);
-				return;
-			}
-			this.connection = opened;
-			try {
-				long leftMillis = Exchange.this.deadlineMillis - EventLoop.nowMillis();
-				this.progressMillis = EventLoop.nowMillis();
-				opened.send(callFor(this.endpoint), Math.max(1, leftMillis) + LOOK_MILLIS, this);
-				this.sent = true;
-				Exchange.this.mayHaveRun = true;
-				Exchange.this.runs++;
-				if (Exchange.this.route.repeatable()) {
-					lookLater();
-				}
-			}
-			catch (ServingException ex) {
-				stop();
-				notRun(ex.getMessage(), false);
-			}
-		}
-
-		private void lookLater() {
-			Exchange.this.look = Exchange.this.dispatcher.loop().schedule(LOOK_MILLIS, this::look);
-		}
-
-		private void look() {
-			if (this.stopped) {
-				return;
-			}
-			long now = EventLoop.nowMillis();
-			long silentMillis = Math.min(now - this.progressMillis, this.endpoint.silentMillis(now));
-			long bound = Exchange.this.dispatcher.stallMillis(Exchange.this.match, this.endpoint, this.relaying);
-			if (silentMillis > bound) {
-				stalled(this, silentMillis);
-			}
-			if (!this.stopped) {
-				lookLater();
-			}
-		}
-
-		// Ends the attempt; an answer that is not whole closes its connection.
-		private void stop() {
-			if (!this.stopped) {
-				this.stopped = true;
-				this.endpoint.end();
-				if (this.connection != null) {
-					this.connection.close();
-				}
-			}
-		}
-
-		private void complete() {
-			if (!this.stopped) {
-				this.stopped = true;
-				this.endpoint.end();
-				this.endpoint.keep(this.connection);
-			}
-		}
-
-		@Override
-		public void onHeaders(int replyStatus, Headers replyHeaders) {
-			Exchange.this.dispatcher.loop().run(() -> headersArrived(replyStatus, replyHeaders));
-		}
-
-		@Override
-		public void onBody(byte[] chunk) {
-			Exchange.this.dispatcher.loop().run(() -> bodyArrived(chunk));
-		}
-
-		@Override
-		public void onComplete() {
-			Exchange.this.dispatcher.loop().run(this::completed);
-		}
-
-		@Override
-		public void onFailure(ServingException failure) {
-			Exchange.this.dispatcher.loop().run(() -> failed(failure));
-		}
-
-		private void headersArrived(int replyStatus, Headers replyHeaders) {
-			if (this.stopped) {
-				return;
-			}
-			progressed();
-			HeaderNames names = Exchange.this.dispatcher.names();
-			if (replyHeaders.get(names.requestId()).filter((id) -> !id.equals(Exchange.this.requestId)).isPresent()) {
-				failed(new ServingException(FailureCode.ENDPOINT_LOST, "the answer belongs to another request"));
-				return;
-			}
-			this.status = replyStatus;
-			this.headers = replyHeaders;
-			replyHeaders.get(names.load()).ifPresent(this::loadReported);
-			if (ranNot()) {
-				return;
-			}
-			if (isStream()) {
-				this.splitter = new EventSplitter();
-				if (Exchange.this.streamHead == null) {
-					Exchange.this.streamHead = ForwardedHeaders.ofAnswer(replyHeaders);
-				}
-			}
-		}
-
-		private boolean ranNot() {
-			return this.status == MISDIRECTED
-					|| this.headers.get(Exchange.this.dispatcher.names().notRun()).isPresent();
-		}
-
-		private boolean isStream() {
-			return this.status == OK && this.headers.eventStream();
-		}
-
-		private void loadReported(String load) {
-			String[] parts = load.split(",");
-			if (parts.length >= 2 && parts[0].matches("[0-9]{1,6}") && parts[1].matches("[0-9]{1,6}")) {
-				this.endpoint.reported(Integer.parseInt(parts[0]) + Integer.parseInt(parts[1]));
-			}
-		}
-
-		private void progressed() {
-			this.progressMillis = EventLoop.nowMillis();
-			this.endpoint.progressed();
-		}
-
-		private void bodyArrived(byte[] chunk) {
-			if (this.stopped) {
-				return;
-			}
-			progressed();
-			if (this.splitter != null) {
-				this.splitter.add(chunk).forEach(this::relay);
-			}
-			else if (this.relaying) {
-				Exchange.this.call.write(chunk);
-			}
-			else {
-				this.held.writeBytes(chunk);
-				if (this.held.size() > HELD_BYTES && !retryableStatus()) {
-					relayHeld();
-				}
-			}
-		}
-
-		private void relay(EventSplitter.Event event) {
-			if (Exchange.this.done || alreadySent(event)) {
-				return;
-			}
-			this.relaying = true;
-			beginStream();
-			notePause();
-			Exchange.this.call.write(event.bytes());
-			event.id().ifPresent((id) -> Exchange.this.lastEventId = Optional.of(String.valueOf(id)));
-		}
-
-		// Counts the pause before an event across endpoints, as the caller sees it.
-		private void notePause() {
-			long now = EventLoop.nowMillis();
-			if (Exchange.this.relayedMillis > 0) {
-				Exchange.this.longestGapMillis = Math.max(Exchange.this.longestGapMillis,
-						now - Exchange.this.relayedMillis);
-			}
-			Exchange.this.relayedMillis = now;
-		}
+	CallerAnswer answer() {
+		return this.answer;
+	}
 
-		private boolean alreadySent(EventSplitter.Event event) {
-			return Exchange.this.streamBegun && event.id().isPresent()
-					&& Exchange.this.lastEventId.filter((last) -> event.id().get() <= Long.parseLong(last)).isPresent();
-		}
+	Router.Match match() {
+		return this.match;
+	}
 
-		private void beginStream() {
-			if (!Exchange.this.streamBegun) {
-				Exchange.this.streamBegun = true;
-				Exchange.this.firstByteMillis = EventLoop.nowMillis();
-				Exchange.this.call.begin(OK, Exchange.this.streamHead.without("Content-Length"));
-			}
-		}
+	String requestId() {
+		return this.requestId;
+	}
 
-		private void relayHeld() {
-			this.relaying = true;
-			Exchange.this.firstByteMillis = EventLoop.nowMillis();
-			Exchange.this.streamBegun = true;
-			Exchange.this.call.begin(this.status, ForwardedHeaders.ofAnswer(this.headers));
-			Exchange.this.call.write(this.held.toByteArray());
-		}
+	boolean done() {
+		return this.done;
+	}
 
-		private boolean retryableStatus() {
-			return ranNot() || (this.status >= SERVER_ERROR && Exchange.this.route.repeatable());
-		}
+	long leftMillis() {
+		return this.deadlineMillis - EventLoop.nowMillis();
+	}
 
-		private void completed() {
-			if (this.stopped) {
-				return;
-			}
-			if (this.splitter != null && this.splitter.inEvent()) {
-				failed(new ServingException(FailureCode.ENDPOINT_LOST, "the stream ended inside an event"));
-				return;
-			}
-			complete();
-			if (Exchange.this.done) {
-				return;
-			}
-			if (ranNot()) {
-				Exchange.this.runs--;
-				Exchange.this.mayHaveRun = Exchange.this.runs > 0;
-				if (this.status == MISDIRECTED || !Exchange.this.dispatcher.full(this.endpoint)) {
-					this.endpoint.suspect();
-				}
-				notRun("answered " + this.status + " without running it", true);
-			}
-			else if (retryableStatus() && repeatable()) {
-				sendNext("answered " + this.status);
-			}
-			else {
-				deliver();
-			}
-		}
+	// Notes that an endpoint has the request, so that it may run.
+	void sent() {
+		this.mayHaveRun = true;
+		this.runs++;
+	}
 
-		private void deliver() {
-			if (this.splitter != null) {
-				beginStream();
-				Exchange.this.call.finish();
-			}
-			else if (this.relaying) {
-				Exchange.this.call.finish();
-			}
-			else if (Exchange.this.streamBegun) {
-				giveUp(new ServingException(FailureCode.ENDPOINT_LOST, "the stream was answered " + this.status), 0);
-				return;
-			}
-			else {
-				Exchange.this.call.reply(this.status, ForwardedHeaders.ofAnswer(this.headers).without("Content-Length"),
-						this.held.toByteArray());
-			}
-			answered(this.status);
-		}
+	// Goes on after an endpoint that had the request said that it did not run it.
+	void declined(String reason) {
+		this.runs--;
+		this.mayHaveRun = this.runs > 0;
+		notRun(reason, true);
+	}
 
-		private void failed(ServingException failure) {
-			if (this.stopped) {
-				return;
-			}
-			stop();
-			if (!this.sent) {
-				return;
-			}
-			if (this.headers != null && ranNot()) {
-				Exchange.this.runs--;
-				Exchange.this.mayHaveRun = Exchange.this.runs > 0;
-				notRun("answered " + this.status + " without running it", true);
-			}
-			else if (this.relaying && this.splitter == null) {
-				giveUp(failure, 0);
-			}
-			else {
-				lost(this, failure.getMessage());
-			}
+	// Sends the request elsewhere after a failure that an endpoint answered, if allowed.
+	boolean trySendAgain(String reason) {
+		boolean allowed = repeatable();
+		if (allowed) {
+			sendNext(reason);
 		}
-
+		return allowed;
 	}
 
 }
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -90,6 +90,7 @@
 			endpoint.close();
 		}
 		this.started.clear();
+		this.stalled.clear();
 	}
 
 	private ScriptedEndpoint endpoint(String answer, ScriptedEndpoint.End end) {
@@ -236,6 +237,7 @@
 				ScriptedEndpoint.End.KEEP);
 		serve(RequestKind.STREAM, first.address(), second.address());
 		Assert.assertEquals(ask().split("data: e").length - 1, 2);
+		Assert.assertEquals(this.stalled.get(0).address(), first.address(), "the planner is told");
 	}
 
 	@Test
