--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
@@ -376,8 +376,7 @@
 			.or(() -> record.staged().stream().findFirst());
 	}
 
-	// Chooses the model that completes a group of a domain's free VMs; among several,
-	// that
+	// Chooses the model that completes a group of a domain's free VMs; of several the one
 	// with the fewest VMs for its share.
 	private String nextToStage(Map<String, Integer> held, Map<String, Integer> vms, int empty) {
 		List<ModelProfile> models = byNeed(vms);
