--- a/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/ControllerMain.java
+++ b/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/ControllerMain.java
@@ -60,7 +60,8 @@
 		EventLog log = EventLog.of(ControllerMain.class);
 		Node node = Node.start(settings, "controller");
 		LeaseElection election = LeaseElection.of(node.platform(), node.clock(), "groups/" + settings.zone(),
-				settings.id());
+				settings.id(),
+				(failure) -> log.emit(LogEvent.TASK_FAILED, "election of the planner", failure.getMessage()));
 		GroupKeeper keeper = new GroupKeeper(node, election);
 		node.every("election", ELECTION_PERIOD_MILLIS, () -> election.tick(node.leaseCandidate()));
 		node.every("groups", PLAN_PERIOD_MILLIS, keeper::tick);
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/CallerConnection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/CallerConnection.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Locale;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -14,6 +15,7 @@
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
@@ -248,11 +250,11 @@
 	}
 
 	static boolean keepsConnection(HttpRequestPacket request, Headers headers) {
-		String option = headers.get("Connection").orElse("").toLowerCase(java.util.Locale.ROOT);
+		String option = headers.get("Connection").orElse("").toLowerCase(Locale.ROOT);
 		return (request.getProtocol() == Protocol.HTTP_1_1) ? !option.contains("close") : option.contains("keep-alive");
 	}
 
-	static Headers headersOf(org.glassfish.grizzly.http.HttpHeader packet) {
+	static Headers headersOf(HttpHeader packet) {
 		MimeHeaders source = packet.getHeaders();
 		List<Headers.Field> fields = new ArrayList<>(source.size());
 		for (int i = 0; i < source.size(); i++) {
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 
 import org.monsoonvalve.core.connection.PlatformStore;
 import org.monsoonvalve.core.request.FailureCode;
@@ -40,12 +41,16 @@
 
 	private final AtomicReference<Term> term = new AtomicReference<>();
 
-	private LeaseElection(PlatformStore platform, ElapsedClock clock, String key, String candidate) {
+	private final Consumer<ServingException> onFailure;
+
+	private LeaseElection(PlatformStore platform, ElapsedClock clock, String key, String candidate,
+			Consumer<ServingException> onFailure) {
 		this.platform = platform;
 		this.clock = clock;
 		this.key = key;
 		this.name = candidate + "/";
 		this.candidate = this.name + UUID.randomUUID();
+		this.onFailure = onFailure;
 	}
 
 	/**
@@ -54,10 +59,13 @@
 	 * @param clock measures the age of renewals
 	 * @param role the role's name
 	 * @param candidate this process
+	 * @param onFailure is told of calls to the platform that failed; the next tick tries
+	 * again
 	 * @return the election
 	 */
-	public static LeaseElection of(PlatformStore platform, ElapsedClock clock, String role, NodeId candidate) {
-		return new LeaseElection(platform, clock, "monsoonvalve/leases/" + role, candidate.value());
+	public static LeaseElection of(PlatformStore platform, ElapsedClock clock, String role, NodeId candidate,
+			Consumer<ServingException> onFailure) {
+		return new LeaseElection(platform, clock, "monsoonvalve/leases/" + role, candidate.value(), onFailure);
 	}
 
 	/**
@@ -108,7 +116,7 @@
 	public void resign() {
 		Term held = this.term.getAndSet(null);
 		if (held != null) {
-			this.platform.revokeLease(held.leaseId());
+			revoke(held.leaseId());
 		}
 	}
 
@@ -123,6 +131,7 @@
 			return false;
 		}
 		catch (ServingException ex) {
+			this.onFailure.accept(ex);
 			// The lease may last at the platform, as while the platform is away; a later
 			// renewal shows that nobody else had it.
 			return true;
@@ -142,6 +151,7 @@
 				.orElse(OptionalLong.of(0));
 		}
 		catch (ServingException ex) {
+			this.onFailure.accept(ex);
 			return OptionalLong.empty();
 		}
 	}
@@ -153,6 +163,7 @@
 			leaseId = await(this.platform.grantLease(TTL_SECONDS));
 		}
 		catch (ServingException ex) {
+			this.onFailure.accept(ex);
 			return;
 		}
 		String value = this.candidate + "/" + leaseId;
@@ -160,10 +171,18 @@
 			this.term.set(new Term(leaseId, this.clock.now(), start));
 		}
 		else {
-			this.platform.revokeLease(leaseId);
+			revoke(leaseId);
 		}
 	}
 
+	private void revoke(long leaseId) {
+		this.platform.revokeLease(leaseId).whenComplete((done, failure) -> {
+			if (failure != null) {
+				this.onFailure.accept(ServingException.from(failure));
+			}
+		});
+	}
+
 	private boolean claim(String value, long revision, long leaseId) {
 		byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
 		try {
@@ -171,6 +190,7 @@
 			return result.succeeded();
 		}
 		catch (ServingException ex) {
+			this.onFailure.accept(ex);
 			return false;
 		}
 	}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
@@ -157,14 +157,14 @@
 	/** An order got no usable answer. */
 	ORDER_UNANSWERED(6305, Level.WARN, "an order was not answered"),
 
-	/** A group's member left questions unanswered while its requests stood still. */
+	/** A group's member left probes unanswered while its requests stood still. */
 	MEMBER_MISSING(6306, Level.WARN, "a member is missing"),
 
 	/** A missing member answered again. */
 	MEMBER_BACK(6307, Level.INFO, "a missing member is back"),
 
 	/** A group closes so that another model can have its VMs. */
-	GROUP_GIVES_WAY(6308, Level.INFO, "a group gives way to another model");
+	GROUP_PREEMPTED(6308, Level.INFO, "a group is preempted by another model");
 
 	private final int number;
 
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/LeaseElectionTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/LeaseElectionTests.java
@@ -1,5 +1,9 @@
 package org.monsoonvalve.core.process;
 
+import java.util.ArrayList;
+import java.util.List;
+
+import org.monsoonvalve.core.request.ServingException;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -10,6 +14,8 @@
 
 	private SteppingClock wall;
 
+	private final List<ServingException> failures = new ArrayList<>();
+
 	private LeaseElection first;
 
 	private LeaseElection second;
@@ -17,10 +23,11 @@
 	@BeforeMethod
 	public void startTwoCandidates() {
 		this.platform = new FakePlatformStore();
+		this.failures.clear();
 		this.wall = new SteppingClock();
 		ElapsedClock clock = ElapsedClock.of(this.wall);
-		this.first = LeaseElection.of(this.platform, clock, "role", NodeId.of("first"));
-		this.second = LeaseElection.of(this.platform, clock, "role", NodeId.of("second"));
+		this.first = LeaseElection.of(this.platform, clock, "role", NodeId.of("first"), this.failures::add);
+		this.second = LeaseElection.of(this.platform, clock, "role", NodeId.of("second"), this.failures::add);
 	}
 
 	@Test
@@ -58,6 +65,7 @@
 			this.first.tick(true);
 		}
 		Assert.assertFalse(this.first.held());
+		Assert.assertEquals(this.failures.size(), 8, "each failed renewal is told");
 		this.platform.down(false);
 		this.first.tick(true);
 		Assert.assertTrue(this.first.held());
@@ -68,8 +76,9 @@
 	public void aRestartedHolderTakesOverFromItsEarlierProcess() {
 		this.first.tick(true);
 		LeaseElection restarted = LeaseElection.of(this.platform, ElapsedClock.of(this.wall), "role",
-				NodeId.of("first"));
-		LeaseElection similar = LeaseElection.of(this.platform, ElapsedClock.of(this.wall), "role", NodeId.of("firs"));
+				NodeId.of("first"), this.failures::add);
+		LeaseElection similar = LeaseElection.of(this.platform, ElapsedClock.of(this.wall), "role", NodeId.of("firs"),
+				this.failures::add);
 		similar.tick(true);
 		Assert.assertFalse(similar.held());
 		restarted.tick(true);
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
@@ -12,7 +12,9 @@
 import org.monsoonvalve.core.connection.EndpointStatus;
 import org.monsoonvalve.core.connection.PeerFrame;
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.process.EventLog;
 import org.monsoonvalve.core.process.LeaseElection;
+import org.monsoonvalve.core.process.LogEvent;
 import org.monsoonvalve.core.process.Node;
 import org.monsoonvalve.core.version.Configuration;
 import org.monsoonvalve.core.version.Inventory;
@@ -41,6 +43,8 @@
 
 	private final ReserveTerm reserveTerm;
 
+	private final EventLog log = EventLog.of(Slots.class);
+
 	private final LeaseElection election;
 
 	private final String markerKey;
@@ -55,7 +59,8 @@
 		this.reserveIssuer = SlotIssuer.of(node.clock());
 		this.reserveTerm = ReserveTerm.of(node.clock());
 		this.election = LeaseElection.of(node.platform(), node.clock(), "slots/" + node.settings().zone(),
-				node.settings().id());
+				node.settings().id(),
+				(failure) -> this.log.emit(LogEvent.TASK_FAILED, "election of the slot issuer", failure.getMessage()));
 		this.markerKey = "monsoonvalve/slot-terms/" + node.settings().zone();
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
@@ -41,7 +41,8 @@
 	/** Age of reports that still count for the average. */
 	private static final long REPORT_LIFE_MILLIS = 3000;
 
-	private static final long SECOND_MILLIS = 1000;
+	/** A second and both its ends, as bounds on rates hold for any second. */
+	private static final long RATE_WINDOW_MILLIS = 1001;
 
 	private final HttpClient client;
 
@@ -49,7 +50,7 @@
 
 	private final Deque<Idle> idle = new ArrayDeque<>();
 
-	private final Deque<Long> sendMillis = new ArrayDeque<>();
+	private final SlidingWindow sends = SlidingWindow.of(RATE_WINDOW_MILLIS);
 
 	private EndpointRecord record;
 
@@ -147,11 +148,12 @@
 	 * Counts a request that is sent to the endpoint.
 	 */
 	public void begin() {
+		long now = EventLoop.nowMillis();
 		if (this.outstanding == 0) {
-			this.busySinceMillis = EventLoop.nowMillis();
+			this.busySinceMillis = now;
 		}
 		this.outstanding++;
-		this.sendMillis.addLast(EventLoop.nowMillis());
+		this.sends.add(now);
 	}
 
 	/**
@@ -160,10 +162,7 @@
 	 * @return the requests
 	 */
 	public int sentInSecond(long nowMillis) {
-		while (!this.sendMillis.isEmpty() && nowMillis - this.sendMillis.peekFirst() > SECOND_MILLIS) {
-			this.sendMillis.removeFirst();
-		}
-		return this.sendMillis.size();
+		return this.sends.count(nowMillis);
 	}
 
 	/**
@@ -173,14 +172,6 @@
 		this.outstanding--;
 	}
 
-	/**
-	 * Returns the requests of this process that are at the endpoint.
-	 * @return the requests
-	 */
-	public int outstanding() {
-		return this.outstanding;
-	}
-
 	/**
 	 * Takes the load that an answer reported.
 	 * @param runningAndWaiting requests at the endpoint, of all callers
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.process.LogEvent;
@@ -45,6 +46,9 @@
 
 	private FleetView view = FleetView.empty();
 
+	// The endpoints that may take requests, by service; found once for each view.
+	private Map<String, List<Endpoint>> usable = Map.of();
+
 	/**
 	 * Creates a set without endpoints.
 	 * @param zone the availability zone of this process
@@ -75,6 +79,15 @@
 		});
 		present.forEach((incarnation,
 				record) -> this.byIncarnation.computeIfAbsent(incarnation, (absent) -> joined(record)).update(record));
+		this.usable = this.byIncarnation.values()
+			.stream()
+			.filter((endpoint) -> usable(endpoint.record()))
+			.collect(Collectors.groupingBy((endpoint) -> endpoint.record().service()));
+	}
+
+	private boolean usable(EndpointRecord record) {
+		return !record.draining() && !this.view.evacuatedZones().contains(record.zone())
+				&& (record.membership().isEmpty() || this.view.servesWholeGroup(record));
 	}
 
 	private Endpoint joined(EndpointRecord record) {
@@ -104,17 +117,13 @@
 	 * @return the endpoints, in no order
 	 */
 	public List<Endpoint> eligible(String service, Optional<String> model) {
-		return this.byIncarnation.values()
-			.stream()
-			.filter((endpoint) -> endpoint.record().service().equals(service))
-			.filter((endpoint) -> !endpoint.record().draining())
-			.filter((endpoint) -> !this.view.evacuatedZones().contains(endpoint.record().zone()))
-			.filter((endpoint) -> model.isEmpty() || serves(endpoint.record(), model.get()))
-			.toList();
+		List<Endpoint> all = this.usable.getOrDefault(service, List.of());
+		return model.isEmpty() ? all
+				: all.stream().filter((endpoint) -> serves(endpoint.record(), model.get())).toList();
 	}
 
-	private boolean serves(EndpointRecord record, String model) {
-		return record.models().contains(model) && this.view.servesWholeGroup(record);
+	private static boolean serves(EndpointRecord record, String model) {
+		return record.models().contains(model) && record.membership().isPresent();
 	}
 
 	/**
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactSync.java
@@ -105,10 +105,6 @@
 		this.peers.close();
 	}
 
-	boolean storeAnswers() {
-		return this.storeAnswers;
-	}
-
 	private void load() {
 		this.store.read("", 0).whenCompleteAsync((snapshot, failure) -> {
 			if (failure != null) {
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -1,5 +1,6 @@
 package org.monsoonvalve.gateway.process;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -127,7 +128,8 @@
 		ElapsedClock clock = ElapsedClock.system();
 		this.zones = settings.zones().stream().map((zone) -> {
 			LeaseElection election = LeaseElection.of(store, clock, "planner-" + zone,
-					NodeId.of(settings.name() + "@" + settings.peers()));
+					NodeId.of(settings.name() + "@" + settings.peers()), (failure) -> log.record(LogEvent.TASK_FAILED,
+							"task", "election for " + zone, "reason", failure.getMessage()));
 			return new Zone(zone, election,
 					new ZonePlanner(zone, settings, store, engines, election, this.control, log));
 		}).toList();
@@ -191,8 +193,8 @@
 	}
 
 	private void suspect(EndpointRecord endpoint) {
-		this.control
-			.execute(() -> guarded("inspect", () -> this.zones.forEach((zone) -> zone.planner().suspect(endpoint))));
+		this.control.execute(
+				() -> guarded("probe members", () -> this.zones.forEach((zone) -> zone.planner().suspect(endpoint))));
 	}
 
 	/**
@@ -228,7 +230,7 @@
 
 	private void metrics(IncomingCall call) {
 		call.reply(OK, Headers.of("Content-Type", "text/plain; charset=utf-8"),
-				MetricsText.of(this.registry).getBytes(java.nio.charset.StandardCharsets.UTF_8));
+				MetricsText.of(this.registry).getBytes(StandardCharsets.UTF_8));
 	}
 
 	/**
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/HeadSilence.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/HeadSilence.java
@@ -15,8 +15,7 @@
 	 * Age of the members' last answer up to which they count as reached; they are asked
 	 * every second.
 	 */
-	static final long EVIDENCE_LIFE_MILLIS = 2 * MemberInspector.PAUSE_MILLIS
-			+ 2 * MemberInspector.PROBE_TIMEOUT_MILLIS;
+	static final long EVIDENCE_LIFE_MILLIS = 2 * MemberProber.PAUSE_MILLIS + 2 * MemberProber.PROBE_TIMEOUT_MILLIS;
 
 	private long sinceMillis;
 
@@ -24,7 +23,7 @@
 
 	/**
 	 * Creates a silence that nothing shows yet.
-	 * @param sinceMillis the first question without an answer, in milliseconds
+	 * @param sinceMillis the first probe without an answer, in milliseconds
 	 */
 	HeadSilence(long sinceMillis) {
 		this.sinceMillis = sinceMillis;
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/MemberInspector.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/MemberProber.java
@@ -9,27 +9,27 @@
 import java.util.function.LongSupplier;
 
 import org.monsoonvalve.core.process.LogEvent;
+import org.monsoonvalve.core.request.ServingException;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 
 /**
  * Finds out which member of a group is lost when the group's requests stand still, before
  * the member's record goes: the members are asked for their reports, and one that leaves
- * two questions in a row unanswered is missing until it answers again. Confined to the
+ * two probes in a row unanswered is missing until it answers again. Confined to the
  * control thread.
  *
  * @author monsoonvalve maintainers
  */
-final class MemberInspector {
+final class MemberProber {
 
 	/** Wait for a report, which takes milliseconds; zones are under 10 ms apart. */
 	static final long PROBE_TIMEOUT_MILLIS = 250;
 
-	/** Questions without an answer that make a member missing; one may be lost. */
+	/** Probes without an answer that make a member missing; one may be lost. */
 	static final int PROBES = 2;
 
 	/**
-	 * Least time between two inspections of a group, and between questions to a missing
-	 * member.
+	 * Least time between two probes of a group, and between probes of a missing member.
 	 */
 	static final long PAUSE_MILLIS = 1000;
 
@@ -44,13 +44,13 @@
 	private final Map<String, Subject> subjects = new HashMap<>();
 
 	/**
-	 * Creates an inspector that suspects nobody.
+	 * Creates a prober that suspects nobody.
 	 * @param engines asks for reports
-	 * @param control the thread that the inspector is confined to
+	 * @param control the thread that the prober is confined to
 	 * @param nowMillis the present time, in milliseconds
 	 * @param log is told of members that are missing and that are back
 	 */
-	MemberInspector(EngineControl engines, Executor control, LongSupplier nowMillis, DecisionLog log) {
+	MemberProber(EngineControl engines, Executor control, LongSupplier nowMillis, DecisionLog log) {
 		this.engines = engines;
 		this.control = control;
 		this.nowMillis = nowMillis;
@@ -61,7 +61,7 @@
 	 * Asks the members of a group whose requests stand still.
 	 * @param members the records of its members
 	 */
-	void inspect(List<EndpointRecord> members) {
+	void probe(List<EndpointRecord> members) {
 		members.forEach(this::askIfDue);
 	}
 
@@ -86,7 +86,7 @@
 	}
 
 	/**
-	 * Tells whether a VM has left the last questions unanswered.
+	 * Tells whether a VM has left the last probes unanswered.
 	 * @param endpoint the VM's record
 	 * @return {@code true} if it is missing
 	 */
@@ -96,7 +96,7 @@
 	}
 
 	/**
-	 * Tells since when a VM has answered no question.
+	 * Tells since when a VM has answered no probe.
 	 * @param incarnation the VM's incarnation
 	 * @return the time of the first of them, in milliseconds, empty if the last one was
 	 * answered or none was asked
@@ -110,7 +110,7 @@
 	/**
 	 * Tells when a VM answered last.
 	 * @param incarnation the VM's incarnation
-	 * @return the time in milliseconds, empty if it has answered no question
+	 * @return the time in milliseconds, empty if it has answered no probe
 	 */
 	OptionalLong answeredMillis(String incarnation) {
 		Subject subject = this.subjects.get(incarnation);
@@ -157,7 +157,8 @@
 		if (subject.unanswered == PROBES) {
 			this.log.record(LogEvent.MEMBER_MISSING, "endpoint", endpoint.id(), "group",
 					endpoint.membership().map((place) -> place.group()).orElse(""), "silent_ms",
-					this.nowMillis.getAsLong() - subject.silentSinceMillis, "reason", failure.getMessage());
+					this.nowMillis.getAsLong() - subject.silentSinceMillis, "reason",
+					ServingException.from(failure).getMessage());
 		}
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Membership.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Membership.java
@@ -55,7 +55,7 @@
 	void leave() {
 		this.leaving = true;
 		if (this.leaseId != 0) {
-			this.store.revokeLease(this.leaseId);
+			this.store.revokeLease(this.leaseId).whenComplete((done, failure) -> failed("end registration", failure));
 		}
 	}
 
@@ -67,9 +67,7 @@
 			this.leaseId = lease;
 			return replace(lease);
 		}).whenCompleteAsync((done, failure) -> {
-			if (failure != null) {
-				this.log.record(LogEvent.TASK_FAILED, "task", "register", "reason",
-						ServingException.from(failure).getMessage());
+			if (failed("register", failure)) {
 				later(this::register, RETRY_MILLIS);
 			}
 			else {
@@ -99,9 +97,7 @@
 			return;
 		}
 		this.store.renewLease(this.leaseId).whenCompleteAsync((alive, failure) -> {
-			if (failure != null) {
-				this.log.record(LogEvent.TASK_FAILED, "task", "renew registration", "reason",
-						ServingException.from(failure).getMessage());
+			if (failed("renew registration", failure)) {
 				later(this::renew, RETRY_MILLIS);
 			}
 			else if (alive) {
@@ -113,6 +109,13 @@
 		}, this.control);
 	}
 
+	private boolean failed(String task, Throwable failure) {
+		if (failure != null) {
+			this.log.record(LogEvent.TASK_FAILED, "task", task, "reason", ServingException.from(failure).getMessage());
+		}
+		return failure != null;
+	}
+
 	private void later(Runnable task, long millis) {
 		this.control.schedule(task, millis, TimeUnit.MILLISECONDS);
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/OrderDesk.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/OrderExecutor.java
@@ -20,7 +20,7 @@
  *
  * @author monsoonvalve maintainers
  */
-final class OrderDesk {
+final class OrderExecutor {
 
 	/** Pause before an order without an answer is given again. */
 	private static final long RETRY_MILLIS = 300;
@@ -30,7 +30,7 @@
 	 */
 	static final long REPORT_TIMEOUT_MILLIS = 700;
 
-	/** Answers that may fail to come before the desk lets go of the endpoint. */
+	/** Answers that may fail to come before the executor lets go of the endpoint. */
 	private static final int MAX_TRIES = 12;
 
 	/** Time for an engine's new state to reach the store after it took an order. */
@@ -51,13 +51,13 @@
 	private final Map<String, Staging> staging = new HashMap<>();
 
 	/**
-	 * Creates a desk.
+	 * Creates an executor.
 	 * @param engines gives orders
-	 * @param control the thread that the desk is confined to
+	 * @param control the thread that the executor is confined to
 	 * @param mayGive tells whether this process still plans the zone
 	 * @param log receives outcomes
 	 */
-	OrderDesk(EngineControl engines, ScheduledExecutorService control, BooleanSupplier mayGive, DecisionLog log) {
+	OrderExecutor(EngineControl engines, ScheduledExecutorService control, BooleanSupplier mayGive, DecisionLog log) {
 		this.engines = engines;
 		this.control = control;
 		this.mayGive = mayGive;
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
@@ -7,7 +7,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.stream.Collectors;
 
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.PlatformStore;
@@ -19,7 +18,7 @@
 import org.monsoonvalve.gateway.version.EngineProfile;
 import org.monsoonvalve.gateway.version.FleetView;
 import org.monsoonvalve.gateway.version.GroupOrder;
-import org.monsoonvalve.gateway.version.HeadFate;
+import org.monsoonvalve.gateway.version.HeadLiveness;
 import org.monsoonvalve.gateway.version.ReplicaGroup;
 import org.monsoonvalve.gateway.version.ReplicaPlanner;
 import org.monsoonvalve.gateway.version.ServiceProfile;
@@ -65,9 +64,9 @@
 
 	private final LeaseElection election;
 
-	private final OrderDesk desk;
+	private final OrderExecutor executor;
 
-	private final MemberInspector inspector;
+	private final MemberProber prober;
 
 	private final ScheduledExecutorService control;
 
@@ -94,8 +93,8 @@
 		this.election = election;
 		this.control = control;
 		this.log = log;
-		this.desk = new OrderDesk(engines, control, election::held, log);
-		this.inspector = new MemberInspector(engines, control, EventLoop::nowMillis, log);
+		this.executor = new OrderExecutor(engines, control, election::held, log);
+		this.prober = new MemberProber(engines, control, EventLoop::nowMillis, log);
 	}
 
 	void update(FleetView newer) {
@@ -106,12 +105,7 @@
 
 	// A head whose record is gone may still be reached at its last address.
 	private void keepRecordsOfHeads() {
-		Set<String> heads = this.view.groupsOf(this.zone)
-			.groups()
-			.groups()
-			.stream()
-			.map((group) -> group.head().incarnation())
-			.collect(Collectors.toSet());
+		Set<String> heads = this.view.groupsOf(this.zone).groups().headIncarnations();
 		this.lastRecords.keySet().retainAll(heads);
 		this.view.endpoints()
 			.values()
@@ -129,15 +123,15 @@
 			this.view.groupsOf(this.zone)
 				.groups()
 				.groupOf(ReplicaGroup.MemberVm.of(head))
-				.ifPresent((group) -> this.inspector.inspect(records(group)));
+				.ifPresent((group) -> this.prober.probe(records(group)));
 		}
 	}
 
 	private List<EndpointRecord> records(ReplicaGroup group) {
 		return group.members()
 			.stream()
+			.filter(this::present)
 			.map((member) -> this.view.endpoints().get(member.id()))
-			.filter((record) -> record != null && group.members().contains(ReplicaGroup.MemberVm.of(record)))
 			.toList();
 	}
 
@@ -147,8 +141,8 @@
 		if (holds != this.held) {
 			this.held = holds;
 			this.planned = null;
-			this.desk.forget();
-			this.inspector.forget();
+			this.executor.forget();
+			this.prober.forget();
 			this.lostHeads.clear();
 			this.log.record(LogEvent.PLANNER_ROLE, "zone", this.zone, "held", holds);
 		}
@@ -173,20 +167,13 @@
 			.stream()
 			.filter((record) -> record.service().equals(service.name()) && record.zone().equals(this.zone))
 			.toList();
-		this.inspector.step(endpoints,
-				present.groups()
-					.groups()
-					.stream()
-					.map((group) -> group.head().incarnation())
-					.collect(Collectors.toSet()));
-		List<EndpointRecord> answering = endpoints.stream()
-			.filter((record) -> !this.inspector.missing(record))
-			.toList();
-		Map<String, String> staging = this.desk.staging(endpoints);
+		this.prober.step(endpoints, present.groups().headIncarnations());
+		List<EndpointRecord> answering = endpoints.stream().filter((record) -> !this.prober.missing(record)).toList();
+		Map<String, String> staging = this.executor.staging(endpoints);
 		int concurrentLoads = -Math.floorDiv(-engine.concurrentLoads(), Math.max(1, this.settings.zones().size()));
-		ReplicaPlanner.Plan plan = ReplicaPlanner
-			.plan(new ReplicaPlanner.Situation(this.zone, engine, answering, present.groups(), fates(present.groups()),
-					this.desk::busy, staging, Math.max(0, concurrentLoads - staging.size()), vmsElsewhere()));
+		ReplicaPlanner.Plan plan = ReplicaPlanner.plan(new ReplicaPlanner.Situation(this.zone, engine, answering,
+				present.groups(), headLiveness(present.groups()), this.executor::busy, staging,
+				Math.max(0, concurrentLoads - staging.size()), vmsElsewhere()));
 		if (plan.groups().equals(present.groups())) {
 			give(plan, engine);
 		}
@@ -201,12 +188,16 @@
 			.entrySet()
 			.stream()
 			.filter((entry) -> !entry.getKey().equals(this.zone))
-			.flatMap((entry) -> entry.getValue().groups().groups().stream())
-			.filter((group) -> this.view.endpoints().containsKey(group.head().id()))
-			.forEach((group) -> vms.merge(group.model(), group.members().size(), Integer::sum));
+			.map((entry) -> entry.getValue().groups().vmsByModel(this::present))
+			.forEach((zone) -> zone.forEach((model, count) -> vms.merge(model, count, Integer::sum)));
 		return vms;
 	}
 
+	private boolean present(ReplicaGroup.MemberVm member) {
+		EndpointRecord record = this.view.endpoints().get(member.id());
+		return record != null && record.bornMillis() == member.bornMillis();
+	}
+
 	private void store(ReplicaPlanner.Plan plan, FleetView.Planned present) {
 		this.storing = true;
 		this.store.write(OwnKeys.GROUPS.key(this.zone), present.revision(), Codec.JSON.encode(plan.groups()), 0)
@@ -231,33 +222,33 @@
 			.groups()
 			.stream()
 			.filter((group) -> !before.groups().contains(group))
-			.forEach((group) -> this.log.record(group.givesWay() ? LogEvent.GROUP_GIVES_WAY : LogEvent.GROUP_PLANNED,
+			.forEach((group) -> this.log.record(group.preempted() ? LogEvent.GROUP_PREEMPTED : LogEvent.GROUP_PLANNED,
 					"group", group.name(), "model", group.model(), "members",
 					group.members().stream().map(ReplicaGroup.MemberVm::id).toList()));
 	}
 
 	private void give(ReplicaPlanner.Plan plan, EngineProfile engine) {
 		plan.orders()
-			.forEach((order) -> this.desk.give(order.endpoint(), order.order(),
+			.forEach((order) -> this.executor.give(order.endpoint(), order.order(),
 					engine.model(order.order().model()).map((model) -> model.loadMillis()).orElse(0L)));
 	}
 
 	// Judges heads whose records are gone, asking those that may still be reached to
 	// close. Their silence is watched from the moment at which they are missing.
-	private Map<String, HeadFate> fates(ZoneGroups groups) {
-		Map<String, HeadFate> fates = new HashMap<>();
+	private Map<String, HeadLiveness> headLiveness(ZoneGroups groups) {
+		Map<String, HeadLiveness> liveness = new HashMap<>();
 		groups.groups().forEach((group) -> {
 			ReplicaGroup.MemberVm head = group.head();
 			EndpointRecord present = this.view.endpoints().get(head.id());
 			if (present == null) {
 				LostHead lost = watch(group);
 				askToClose(group, lost);
-				fates.put(group.name(), lost.fate(goneMillis()));
+				liveness.put(group.name(), lost.liveness(goneMillis()));
 			}
 			else if (present.bornMillis() != head.bornMillis()) {
-				fates.put(group.name(), HeadFate.DEAD);
+				liveness.put(group.name(), HeadLiveness.DEAD);
 			}
-			else if (this.inspector.missing(present)) {
+			else if (this.prober.missing(present)) {
 				watch(group);
 			}
 			else {
@@ -266,7 +257,7 @@
 		});
 		this.lostHeads.keySet()
 			.removeIf((name) -> groups.groups().stream().noneMatch((group) -> group.name().equals(name)));
-		return fates;
+		return liveness;
 	}
 
 	private long goneMillis() {
@@ -277,13 +268,13 @@
 		long now = EventLoop.nowMillis();
 		String head = group.head().incarnation();
 		LostHead lost = this.lostHeads.computeIfAbsent(group.name(),
-				(absent) -> new LostHead(this.inspector.silentSinceMillis(head).orElse(now)));
+				(absent) -> new LostHead(this.prober.silentSinceMillis(head).orElse(now)));
 		List<EndpointRecord> others = records(group).stream()
 			.filter((record) -> !record.incarnation().equals(head))
 			.toList();
-		this.inspector.inspect(others);
+		this.prober.probe(others);
 		lost.silence.membersAnswered(others.stream()
-			.map((record) -> this.inspector.answeredMillis(record.incarnation()))
+			.map((record) -> this.prober.answeredMillis(record.incarnation()))
 			.filter(OptionalLong::isPresent)
 			.mapToLong(OptionalLong::getAsLong)
 			.max(), now);
@@ -299,11 +290,15 @@
 		lost.pauseMillis = Math.min(LONGEST_CLOSE_RETRY_MILLIS, 2 * lost.pauseMillis);
 		lost.asking = true;
 		lost.askedMillis = now;
-		this.engines.orderCount(last.get(), OrderDesk.REPORT_TIMEOUT_MILLIS)
+		this.engines.orderCount(last.get(), OrderExecutor.REPORT_TIMEOUT_MILLIS)
 			.thenCompose(
 					(count) -> this.engines.order(last.get(), GroupOrder.of(GroupOrder.Action.CLOSE, group), count))
 			.whenCompleteAsync((outcome, failure) -> {
 				lost.asking = false;
+				if (failure != null) {
+					this.log.record(LogEvent.ORDER_UNANSWERED, "endpoint", last.get().id(), "action", "CLOSE", "group",
+							group.name(), "reason", ServingException.from(failure).getMessage());
+				}
 				boolean answered = failure == null && outcome != GroupOrder.Outcome.UNANSWERED
 						&& outcome != GroupOrder.Outcome.MOVED;
 				if (answered) {
@@ -334,10 +329,10 @@
 			this.silence = new HeadSilence(silentSinceMillis);
 		}
 
-		private HeadFate fate(long goneMillis) {
+		private HeadLiveness liveness(long goneMillis) {
 			long now = EventLoop.nowMillis();
 			boolean gone = this.silence.longerThan(goneMillis, now) || now - this.goneSinceMillis > FORGET_MILLIS;
-			return this.closed ? HeadFate.CLOSED : (gone ? HeadFate.DEAD : HeadFate.UNKNOWN);
+			return this.closed ? HeadLiveness.CLOSED : (gone ? HeadLiveness.DEAD : HeadLiveness.UNKNOWN);
 		}
 
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -205,7 +205,7 @@
 	HttpCall callFor(Endpoint endpoint) {
 		HeaderNames names = this.dispatcher.names();
 		Headers headers = ForwardedHeaders.ofRequest(this.call.headers(), names)
-			.with(names.deadlineMillis(), String.valueOf(Math.max(1, this.deadlineMillis - EventLoop.nowMillis())))
+			.with(names.deadlineMillis(), String.valueOf(Math.max(1, leftMillis())))
 			.with(names.expectedEndpoint(), endpoint.record().id());
 		if (this.match.workspace().isPresent()) {
 			headers = headers.with(names.workspace(), this.match.workspace().get().name());
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/RetryBudget.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/RetryBudget.java
@@ -1,10 +1,10 @@
 package org.monsoonvalve.gateway.request;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
+import org.monsoonvalve.gateway.connection.SlidingWindow;
+
 /**
  * Bounds how many requests for one service are sent a second time. All processes together
  * stay within the bound, as each takes its own requests and its part of the slack.
@@ -20,45 +20,35 @@
 
 	private final double slack;
 
-	private final long windowMillis;
-
 	private final IntSupplier processes;
 
 	private final LongSupplier clock;
 
-	private final Deque<Long> requests = new ArrayDeque<>();
+	private final SlidingWindow requests;
 
-	private final Deque<Long> repeats = new ArrayDeque<>();
+	private final SlidingWindow repeats;
 
 	RetryBudget(double ratio, double slack, long windowMillis, IntSupplier processes, LongSupplier clock) {
 		this.ratio = ratio;
 		this.slack = slack;
-		this.windowMillis = windowMillis;
+		this.requests = SlidingWindow.of(windowMillis);
+		this.repeats = SlidingWindow.of(windowMillis);
 		this.processes = processes;
 		this.clock = clock;
 	}
 
 	void request() {
 		this.requests.add(this.clock.getAsLong());
-		expire(this.requests);
 	}
 
 	boolean tryRepeat() {
-		expire(this.requests);
-		expire(this.repeats);
-		double bound = this.ratio * this.requests.size() + this.slack / Math.max(1, this.processes.getAsInt());
-		if (this.repeats.size() + 1 > bound * USED_PART) {
+		long now = this.clock.getAsLong();
+		double bound = this.ratio * this.requests.count(now) + this.slack / Math.max(1, this.processes.getAsInt());
+		if (this.repeats.count(now) + 1 > bound * USED_PART) {
 			return false;
 		}
-		this.repeats.add(this.clock.getAsLong());
+		this.repeats.add(now);
 		return true;
 	}
 
-	private void expire(Deque<Long> times) {
-		long start = this.clock.getAsLong() - this.windowMillis;
-		while (!times.isEmpty() && times.peekFirst() <= start) {
-			times.removeFirst();
-		}
-	}
-
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/HeadFate.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/HeadLiveness.java
@@ -5,7 +5,7 @@
  *
  * @author monsoonvalve maintainers
  */
-public enum HeadFate {
+public enum HeadLiveness {
 
 	/** It may still serve requests. */
 	UNKNOWN,
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaGroup.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaGroup.java
@@ -37,19 +37,19 @@
 	}
 
 	/**
-	 * Returns the group as one that gives way to another model.
+	 * Returns the group as one that another model preempts.
 	 * @param next the model that its VMs are to carry next
 	 * @return the changed group
 	 */
-	public ReplicaGroup givingWayTo(String next) {
+	public ReplicaGroup preemptedBy(String next) {
 		return new ReplicaGroup(this.name, this.epoch, this.model, this.members, next);
 	}
 
 	/**
 	 * Tells whether the group is to close so that another model can have its VMs.
-	 * @return {@code true} if it gives way
+	 * @return {@code true} if it is preempted
 	 */
-	public boolean givesWay() {
+	public boolean preempted() {
 		return !this.successor.isEmpty();
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ZoneGroups.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ZoneGroups.java
@@ -2,7 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * All replica groups of an availability zone, kept as one value in the platform's store
@@ -54,18 +58,39 @@
 	}
 
 	/**
-	 * Marks a group as one that gives way to another model.
+	 * Marks a group as one that another model preempts.
 	 * @param name the group's name
 	 * @param successor the model that its VMs are to carry next
 	 * @return the changed value
 	 */
-	public ZoneGroups givingWay(String name, String successor) {
+	public ZoneGroups preempted(String name, String successor) {
 		return new ZoneGroups(this.lastEpoch,
 				this.groups.stream()
-					.map((group) -> group.name().equals(name) ? group.givingWayTo(successor) : group)
+					.map((group) -> group.name().equals(name) ? group.preemptedBy(successor) : group)
 					.toList());
 	}
 
+	/**
+	 * Lists the heads.
+	 * @return their incarnations
+	 */
+	public Set<String> headIncarnations() {
+		return this.groups.stream().map((group) -> group.head().incarnation()).collect(Collectors.toSet());
+	}
+
+	/**
+	 * Counts the VMs that serve each model; those of a preempted group count for the
+	 * model that they are to carry next.
+	 * @param present tells whether a head has a record; groups without one serve nobody
+	 * @return the VMs by model
+	 */
+	public Map<String, Integer> vmsByModel(Predicate<ReplicaGroup.MemberVm> present) {
+		return this.groups.stream()
+			.filter((group) -> present.test(group.head()))
+			.collect(Collectors.groupingBy((group) -> group.preempted() ? group.successor() : group.model(),
+					Collectors.summingInt((group) -> group.members().size())));
+	}
+
 	/**
 	 * Finds the group that a VM belongs to.
 	 * @param member the VM
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointSetTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointSetTests.java
@@ -16,6 +16,10 @@
 import org.monsoonvalve.gateway.process.DecisionLog;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.FleetView;
+import org.monsoonvalve.gateway.version.GroupMembership;
+import org.monsoonvalve.gateway.version.GroupState;
+import org.monsoonvalve.gateway.version.ReplicaGroup;
+import org.monsoonvalve.gateway.version.ZoneGroups;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -71,6 +75,46 @@
 		shares.forEach((id, share) -> Assert.assertEquals(share, even, even / 4, id));
 	}
 
+	private static EndpointRecord engine(String id, String zone, boolean draining, GroupMembership membership) {
+		return new EndpointRecord(id, "m", new Address("127.0.0.1", 1), zone, 6, draining, 0, 1, "d1", List.of("small"),
+				List.of("small"), Optional.ofNullable(membership), 1);
+	}
+
+	@Test
+	public void onlyHeadsOfWholeGroupsInZonesInServiceTakeRequestsForAModel() {
+		ZoneGroups near = ZoneGroups.empty()
+			.with("near", "small", List.of(new ReplicaGroup.MemberVm("a", 1), new ReplicaGroup.MemberVm("b", 1)))
+			.with("near", "small", List.of(new ReplicaGroup.MemberVm("c", 1), new ReplicaGroup.MemberVm("gone", 1)));
+		ZoneGroups far = ZoneGroups.empty().with("far", "small", List.of(new ReplicaGroup.MemberVm("e", 1)));
+		Map<String, EndpointRecord> records = new HashMap<>();
+		List.of(engine("a", "near", false, new GroupMembership("near-1", 1, 0, GroupState.OPEN)),
+				engine("b", "near", false, new GroupMembership("near-1", 1, 1, GroupState.READY)),
+				engine("c", "near", false, new GroupMembership("near-2", 2, 0, GroupState.OPEN)),
+				engine("d", "near", false, null),
+				engine("e", "far", false, new GroupMembership("far-1", 1, 0, GroupState.OPEN)))
+			.forEach((record) -> records.put(record.id(), record));
+		Map<String, FleetView.Planned> groups = Map.of("near", new FleetView.Planned(near, 1), "far",
+				new FleetView.Planned(far, 1));
+		this.endpoints
+			.update(new FleetView(2, Optional.empty(), 0, Set.of("far"), records, Map.of(), groups, Map.of()));
+		Assert.assertEquals(ids("m", Optional.of("small")), List.of("a"));
+		Assert.assertEquals(ids("m", Optional.of("large")), List.of());
+		Assert.assertEquals(ids("s", Optional.empty()), List.of());
+		this.endpoints.update(new FleetView(3, Optional.empty(), 0, Set.of(), records, Map.of(), groups, Map.of()));
+		Assert.assertEquals(ids("m", Optional.of("small")), List.of("a", "e"));
+		records.put("a", engine("a", "near", true, new GroupMembership("near-1", 1, 0, GroupState.OPEN)));
+		this.endpoints.update(new FleetView(4, Optional.empty(), 0, Set.of(), records, Map.of(), groups, Map.of()));
+		Assert.assertEquals(ids("m", Optional.of("small")), List.of("e"));
+	}
+
+	private List<String> ids(String service, Optional<String> model) {
+		return this.endpoints.eligible(service, model)
+			.stream()
+			.map((endpoint) -> endpoint.record().id())
+			.sorted()
+			.toList();
+	}
+
 	@Test
 	public void anEndpointThatReportedMoreLoadThanOthersIsAvoided() {
 		List<Endpoint> near = this.endpoints.eligible("s", Optional.empty())
--- /dev/null
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/SlidingWindowTests.java
@@ -0,0 +1,27 @@
+package org.monsoonvalve.gateway.connection;
+
+import java.util.stream.LongStream;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+public class SlidingWindowTests {
+
+	@Test
+	public void eventsCountForTheSpan() {
+		SlidingWindow window = SlidingWindow.of(1000);
+		window.add(5000);
+		window.add(5400);
+		Assert.assertEquals(window.count(5999), 2);
+		Assert.assertEquals(window.count(6000), 1);
+		Assert.assertEquals(window.count(6400), 0);
+	}
+
+	@Test
+	public void eventsThatNobodyCountsAreForgotten() {
+		SlidingWindow window = SlidingWindow.of(1000);
+		LongStream.range(0, 100_000).forEach(window::add);
+		Assert.assertTrue(window.remembered() <= 1000, "remembered " + window.remembered());
+	}
+
+}
--- /dev/null
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/MemberProberTests.java
@@ -0,0 +1,121 @@
+package org.monsoonvalve.gateway.process;
+
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.request.FailureCode;
+import org.monsoonvalve.core.request.ServingException;
+import org.monsoonvalve.gateway.version.EndpointRecord;
+import org.monsoonvalve.gateway.version.GroupMembership;
+import org.monsoonvalve.gateway.version.GroupOrder;
+import org.monsoonvalve.gateway.version.GroupState;
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class MemberProberTests {
+
+	private final AtomicLong nowMillis = new AtomicLong();
+
+	private final List<Probe> probes = new ArrayList<>();
+
+	private MemberProber prober;
+
+	@BeforeMethod
+	public void create() {
+		this.nowMillis.set(10_000);
+		this.probes.clear();
+		EngineControl engines = new EngineControl() {
+
+			@Override
+			public CompletableFuture<GroupOrder.Outcome> order(EndpointRecord endpoint, GroupOrder order,
+					long expected) {
+				throw new AssertionError("a probe gives no orders");
+			}
+
+			@Override
+			public CompletableFuture<Long> orderCount(EndpointRecord endpoint, long timeoutMillis) {
+				Probe probe = new Probe(endpoint.id(), new CompletableFuture<>());
+				MemberProberTests.this.probes.add(probe);
+				return probe.answer();
+			}
+
+		};
+		this.prober = new MemberProber(engines, Runnable::run, this.nowMillis::get,
+				DecisionLog.start(Clock.systemUTC(), "gateway-1", (line) -> {
+				}));
+	}
+
+	private static EndpointRecord vm(String id) {
+		return new EndpointRecord(id, "engines", new Address("10.0.0.1", 80), "kano-a", 12, false, 0, 1, "d1",
+				List.of(), List.of(), Optional.of(new GroupMembership("kano-a-9", 9, 0, GroupState.OPEN)), 1);
+	}
+
+	private void timeOut() {
+		this.nowMillis.addAndGet(MemberProber.PROBE_TIMEOUT_MILLIS);
+		this.probes.remove(0)
+			.answer()
+			.completeExceptionally(new ServingException(FailureCode.UNREACHABLE, "no answer came"));
+	}
+
+	@Test
+	public void aMemberThatLeavesTwoProbesUnansweredIsMissingLongBeforeItsRecordGoes() {
+		EndpointRecord lost = vm("b");
+		this.prober.probe(List.of(vm("a"), lost));
+		this.probes.remove(0).answer().complete(3L);
+		timeOut();
+		Assert.assertFalse(this.prober.missing(lost), "one answer may be lost");
+		timeOut();
+		Assert.assertTrue(this.prober.missing(lost));
+		Assert.assertFalse(this.prober.missing(vm("a")));
+		Assert.assertEquals(this.prober.silentSinceMillis(lost.incarnation()), OptionalLong.of(10_000));
+		Assert.assertTrue(this.probes.isEmpty(), "two probes suffice");
+	}
+
+	@Test
+	public void aMissingMemberIsAskedAgainAndIsBackOnceItAnswers() {
+		EndpointRecord lost = vm("b");
+		this.prober.probe(List.of(lost));
+		timeOut();
+		timeOut();
+		this.prober.step(List.of(lost), Set.of());
+		Assert.assertTrue(this.probes.isEmpty(), "the last probe is recent");
+		this.nowMillis.addAndGet(MemberProber.PAUSE_MILLIS);
+		this.prober.step(List.of(lost), Set.of());
+		this.probes.remove(0).answer().complete(3L);
+		Assert.assertFalse(this.prober.missing(lost));
+		Assert.assertEquals(this.prober.silentSinceMillis(lost.incarnation()), OptionalLong.empty());
+	}
+
+	@Test
+	public void manyStalledRequestsOfAGroupCauseOneProbeEach() {
+		for (int i = 0; i < 50; i++) {
+			this.prober.probe(List.of(vm("a"), vm("b")));
+		}
+		Assert.assertEquals(this.probes.size(), 2);
+	}
+
+	@Test
+	public void theSilenceOfAHeadIsKeptWhenItsRecordGoes() {
+		EndpointRecord head = vm("a");
+		this.prober.probe(List.of(head));
+		timeOut();
+		timeOut();
+		this.prober.step(List.of(), Set.of(head.incarnation()));
+		Assert.assertTrue(this.prober.silentSinceMillis(head.incarnation()).isPresent());
+		this.prober.step(List.of(), Set.of());
+		Assert.assertTrue(this.prober.silentSinceMillis(head.incarnation()).isEmpty());
+	}
+
+	private record Probe(String endpoint, CompletableFuture<Long> answer) {
+
+	}
+
+}
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/OrderDeskTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/OrderExecutorTests.java
@@ -17,7 +17,7 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
-public class OrderDeskTests {
+public class OrderExecutorTests {
 
 	private static final ReplicaGroup GROUP = ReplicaGroup.of("kano-a-9", 9, "small",
 			List.of(new ReplicaGroup.MemberVm("a", 1), new ReplicaGroup.MemberVm("b", 1)));
@@ -54,21 +54,21 @@
 			}
 
 		};
-		OrderDesk desk = new OrderDesk(engines, this.control, () -> true,
+		OrderExecutor executor = new OrderExecutor(engines, this.control, () -> true,
 				DecisionLog.start(Clock.systemUTC(), "gateway-1", (line) -> {
 				}));
 		EndpointRecord ready = head(GroupState.READY, false, 1);
 		for (int i = 0; i < 2; i++) {
 			onControl(() -> {
-				desk.give(ready, GroupOrder.of(GroupOrder.Action.OPEN, GROUP), 0);
+				executor.give(ready, GroupOrder.of(GroupOrder.Action.OPEN, GROUP), 0);
 				return null;
 			});
 			onControl(() -> null);
 			onControl(() -> null);
 		}
-		Assert.assertTrue(onControl(() -> desk.busy(head(GroupState.READY, true, 2))),
+		Assert.assertTrue(onControl(() -> executor.busy(head(GroupState.READY, true, 2))),
 				"draining was written, and the group opens still");
-		Assert.assertFalse(onControl(() -> desk.busy(head(GroupState.OPEN, true, 3))));
+		Assert.assertFalse(onControl(() -> executor.busy(head(GroupState.OPEN, true, 3))));
 	}
 
 }
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
@@ -26,8 +26,8 @@
 	}
 
 	private static ReplicaPlanner.Plan plan(List<EndpointRecord> endpoints, ZoneGroups groups,
-			Map<String, HeadFate> fates, int loadAllowance) {
-		return ReplicaPlanner.plan(new ReplicaPlanner.Situation("kano-a", ENGINE, endpoints, groups, fates,
+			Map<String, HeadLiveness> liveness, int loadAllowance) {
+		return ReplicaPlanner.plan(new ReplicaPlanner.Situation("kano-a", ENGINE, endpoints, groups, liveness,
 				(record) -> false, Map.of(), loadAllowance, Map.of()));
 	}
 
@@ -155,9 +155,9 @@
 		List<EndpointRecord> left = List.of(vm("b", "d1", "small", in(groups.groups().get(0), 1, GroupState.READY)),
 				vm("d", "d1", "small", in(groups.groups().get(1), 1, GroupState.READY)));
 		Assert.assertEquals(plan(left, groups, Map.of(), 3).groups(), groups);
-		Map<String, HeadFate> fates = Map.of(groups.groups().get(0).name(), HeadFate.DEAD,
-				groups.groups().get(1).name(), HeadFate.CLOSED);
-		Assert.assertEquals(plan(left, groups, fates, 3).groups().groups().size(), 1);
+		Map<String, HeadLiveness> liveness = Map.of(groups.groups().get(0).name(), HeadLiveness.DEAD,
+				groups.groups().get(1).name(), HeadLiveness.CLOSED);
+		Assert.assertEquals(plan(left, groups, liveness, 3).groups().groups().size(), 1);
 	}
 
 	@Test
@@ -209,7 +209,7 @@
 		ZoneGroups groups = fiveSmallGroups();
 		ReplicaPlanner.Plan giving = plan(smallGroupsAndSurvivors(groups, GroupState.OPEN, "large", 3), groups,
 				Map.of(), 0);
-		Assert.assertEquals(giving.groups().groups().stream().filter(ReplicaGroup::givesWay).count(), 1);
+		Assert.assertEquals(giving.groups().groups().stream().filter(ReplicaGroup::preempted).count(), 1);
 		ReplicaPlanner.Plan closing = plan(smallGroupsAndSurvivors(groups, GroupState.OPEN, "large", 3),
 				giving.groups(), Map.of(), 0);
 		Assert.assertEquals(closing.orders().get(0).endpoint().id(), "s8");
