Build fleet views and endpoint sets from changes

Cause: each change of any key rebuilt the whole view in every gateway: all entries were walked, all endpoints matched by concatenated keys, all groups searched for each head, in each of five zone planners again. Change: the replica names the keys that changed, the builder decodes these alone and shares unchanged collections, the endpoint set examines the affected endpoints, the planner indexes members. An entry whose decoder throws is refused alone; the last usable configuration stays in force when an unreadable one replaces it.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
@@ -2,13 +2,16 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.process.LogEvent;
@@ -43,12 +46,13 @@
 
 	private final DecisionLog log;
 
-	private final Map<String, Endpoint> byIncarnation = new HashMap<>();
+	private final Map<String, Endpoint> byId = new HashMap<>();
 
-	private FleetView view = FleetView.empty();
+	private final Set<Endpoint> eligible = new LinkedHashSet<>();
+
+	private final Map<Demand, List<Endpoint>> eligibleByDemand = new HashMap<>();
 
-	// Endpoints that may receive requests, by service; computed once per view.
-	private Map<String, List<Endpoint>> eligibleByService = Map.of();
+	private FleetView view = FleetView.empty();
 
 	/**
 	 * Creates an empty set.
@@ -63,27 +67,52 @@
 	}
 
 	/**
-	 * Replaces the view of the fleet by a newer one.
+	 * Replaces the view of the fleet by a newer one. Only endpoints that the difference
+	 * of the two affects are examined.
 	 * @param newer the newer view
 	 */
 	public void update(FleetView newer) {
+		FleetView older = this.view;
 		this.view = newer;
-		Map<String, EndpointRecord> present = new HashMap<>();
-		newer.endpoints().values().forEach((record) -> present.put(record.incarnation(), record));
-		this.byIncarnation.entrySet().removeIf((entry) -> {
-			boolean left = !present.containsKey(entry.getKey());
-			if (left) {
-				entry.getValue().remove();
-				logChange(LogEvent.ENDPOINT_LEFT, entry.getValue().record());
-			}
-			return left;
-		});
-		present.forEach((incarnation,
-				record) -> this.byIncarnation.computeIfAbsent(incarnation, (absent) -> create(record)).update(record));
-		this.eligibleByService = this.byIncarnation.values()
-			.stream()
-			.filter((endpoint) -> isEligible(endpoint.record()))
-			.collect(Collectors.groupingBy((endpoint) -> endpoint.record().service()));
+		Set<String> changed = newer.endpointsChangedSince(older);
+		changed.forEach((id) -> replaceRecord(id, newer.endpoints().get(id)));
+		Set<String> affected = new HashSet<>(changed);
+		Stream.of(older, newer)
+			.flatMap((each) -> changed.stream().flatMap((id) -> each.headOf(id).stream()))
+			.forEach(affected::add);
+		newer.zonesChangedSince(older)
+			.forEach((changedZone) -> this.byId.values()
+				.stream()
+				.map(Endpoint::record)
+				.filter((record) -> record.zone().equals(changedZone))
+				.forEach((record) -> affected.add(record.id())));
+		if (!affected.isEmpty()) {
+			affected.forEach(this::updateEligibility);
+			this.eligibleByDemand.clear();
+		}
+	}
+
+	private void replaceRecord(String id, EndpointRecord record) {
+		Endpoint known = this.byId.get(id);
+		if (known != null && (record == null || known.record().bornMillis() != record.bornMillis())) {
+			this.byId.remove(id);
+			this.eligible.remove(known);
+			known.remove();
+			logChange(LogEvent.ENDPOINT_LEFT, known.record());
+		}
+		if (record != null) {
+			this.byId.computeIfAbsent(id, (absent) -> create(record)).update(record);
+		}
+	}
+
+	private void updateEligibility(String id) {
+		Endpoint endpoint = this.byId.get(id);
+		if (endpoint != null && isEligible(endpoint.record())) {
+			this.eligible.add(endpoint);
+		}
+		else {
+			this.eligible.remove(endpoint);
+		}
 	}
 
 	private boolean isEligible(EndpointRecord record) {
@@ -118,13 +147,8 @@
 	 * @return the endpoints, in no particular order
 	 */
 	public List<Endpoint> eligible(String service, Optional<String> model) {
-		List<Endpoint> all = this.eligibleByService.getOrDefault(service, List.of());
-		return model.isEmpty() ? all
-				: all.stream().filter((endpoint) -> serves(endpoint.record(), model.get())).toList();
-	}
-
-	private static boolean serves(EndpointRecord record, String model) {
-		return record.models().contains(model) && record.membership().isPresent();
+		return this.eligibleByDemand.computeIfAbsent(new Demand(service, model),
+				(demand) -> this.eligible.stream().filter((endpoint) -> demand.isMetBy(endpoint.record())).toList());
 	}
 
 	/**
@@ -163,4 +187,13 @@
 
 	}
 
+	private record Demand(String service, Optional<String> model) {
+
+		private boolean isMetBy(EndpointRecord record) {
+			return record.service().equals(this.service) && (this.model.isEmpty()
+					|| (record.membership().isPresent() && record.models().contains(this.model.get())));
+		}
+
+	}
+
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetViewBuilder.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetViewBuilder.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 import org.monsoonvalve.core.connection.PlatformStore;
 import org.monsoonvalve.core.process.Codec;
@@ -19,8 +18,9 @@
 import org.monsoonvalve.gateway.version.ZoneGroups;
 
 /**
- * Builds fleet views from the replica of the store, decoding each revision of a value
- * once.
+ * Builds fleet views from the replica of the store. Only entries that changed since the
+ * previous view are decoded, and a view shares with the previous one each collection that
+ * did not change.
  *
  * @author monsoonvalve maintainers
  */
@@ -30,97 +30,163 @@
 
 	private final DecisionLog log;
 
-	private final Map<String, DecodedEntry> cache = new HashMap<>();
+	private final Map<String, Object> decodedByKey = new HashMap<>();
+
+	private final SnapshotMap<EndpointRecord> endpoints = new SnapshotMap<>();
+
+	private final SnapshotMap<Member> members = new SnapshotMap<>();
+
+	private final SnapshotMap<FleetView.PlannedGroups> groups = new SnapshotMap<>();
+
+	private final SnapshotMap<String> roleHolders = new SnapshotMap<>();
+
+	private final Set<String> evacuatedZones = new HashSet<>();
+
+	private Optional<ServingConfiguration> configuration = Optional.empty();
+
+	private long configurationRevision;
 
 	FleetViewBuilder(EntryDecoder decoder, DecisionLog log) {
 		this.decoder = decoder;
 		this.log = log;
 	}
 
+	/**
+	 * Builds the view of the replica's current content.
+	 * @param replica the replica, always the same one
+	 * @return the view
+	 */
 	FleetView build(StoreReplica replica) {
-		Set<String> evacuatedZones = new HashSet<>();
-		Map<String, EndpointRecord> endpoints = new HashMap<>();
-		Map<String, Member> members = new HashMap<>();
-		Map<String, FleetView.PlannedGroups> groups = new HashMap<>();
-		Map<String, String> roles = new HashMap<>();
-		ServingConfiguration configuration = null;
-		long configurationRevision = 0;
-		this.cache.keySet()
-			.retainAll(replica.entries().stream().map(PlatformStore.Entry::key).collect(Collectors.toSet()));
-		for (PlatformStore.Entry entry : replica.entries()) {
-			StoreKeys.LEASES.nameOf(entry.key())
-				.ifPresent((role) -> roles.put(role, new String(entry.value(), StandardCharsets.UTF_8)));
-			Object value = decode(entry);
-			if (value instanceof ServingConfiguration found) {
-				configuration = found;
-				configurationRevision = entry.revision();
-			}
-			else if (value instanceof EvacuatedZone zone) {
-				evacuatedZones.add(zone.name());
-			}
-			else if (value instanceof EndpointRecord endpoint) {
-				endpoints.put(endpoint.id(), endpoint);
-			}
-			else if (value instanceof Member member) {
-				members.put(member.name(), member);
-			}
-			else if (value instanceof ZoneGroups planned) {
-				StoreKeys.GROUPS.nameOf(entry.key())
-					.ifPresent((zone) -> groups.put(zone, new FleetView.PlannedGroups(planned, entry.revision())));
+		replica.takeChangedKeys().forEach((key) -> update(key, replica.entry(key)));
+		return new FleetView(replica.revision(), this.configuration, this.configurationRevision, this.evacuatedZones,
+				this.endpoints.snapshot(), this.members.snapshot(), this.groups.snapshot(),
+				this.roleHolders.snapshot());
+	}
+
+	private void update(String key, Optional<PlatformStore.Entry> entry) {
+		remove(key, this.decodedByKey.remove(key));
+		entry.ifPresent((current) -> {
+			Object decoded = decode(current);
+			if (decoded != null) {
+				this.decodedByKey.put(key, decoded);
+				add(current, decoded);
 			}
+		});
+	}
+
+	private void remove(String key, Object decoded) {
+		// The last usable configuration stays in force until another one replaces it.
+		if (decoded instanceof EvacuatedZone zone) {
+			this.evacuatedZones.remove(zone.name());
+		}
+		else if (decoded instanceof EndpointRecord endpoint) {
+			this.endpoints.remove(endpoint.id());
+		}
+		else if (decoded instanceof Member member) {
+			this.members.remove(member.name());
+		}
+		else if (decoded instanceof ZoneGroups) {
+			StoreKeys.GROUPS.nameOf(key).ifPresent(this.groups::remove);
+		}
+		else if (decoded instanceof RoleHolder holder) {
+			this.roleHolders.remove(holder.role());
 		}
-		return new FleetView(replica.revision(), Optional.ofNullable(configuration), configurationRevision,
-				evacuatedZones, endpoints, members, groups, roles);
 	}
 
-	private Object decode(PlatformStore.Entry entry) {
-		DecodedEntry cached = this.cache.get(entry.key());
-		if (cached != null && cached.revision() == entry.revision()) {
-			return cached.value();
+	private void add(PlatformStore.Entry entry, Object decoded) {
+		if (decoded instanceof ServingConfiguration found) {
+			this.configuration = Optional.of(found);
+			this.configurationRevision = entry.revision();
+			this.log.record(LogEvent.CONFIGURATION_IN_FORCE, "version", found.version(), "revision", entry.revision());
+		}
+		else if (decoded instanceof EvacuatedZone zone) {
+			this.evacuatedZones.add(zone.name());
+			this.log.record(LogEvent.ZONE_EVACUATED, "zone", zone.name(), "revision", entry.revision());
+		}
+		else if (decoded instanceof EndpointRecord endpoint) {
+			this.endpoints.put(endpoint.id(), endpoint);
+		}
+		else if (decoded instanceof Member member) {
+			this.members.put(member.name(), member);
+		}
+		else if (decoded instanceof ZoneGroups planned) {
+			StoreKeys.GROUPS.nameOf(entry.key())
+				.ifPresent((zone) -> this.groups.put(zone, new FleetView.PlannedGroups(planned, entry.revision())));
+		}
+		else if (decoded instanceof RoleHolder holder) {
+			this.roleHolders.put(holder.role(), holder.name());
 		}
-		Object value = decodeUncached(entry);
-		this.cache.put(entry.key(), new DecodedEntry(entry.revision(), value));
-		return value;
 	}
 
-	private Object decodeUncached(PlatformStore.Entry entry) {
+	// Returns null for a value that can't be used, whatever is wrong with it: other
+	// clients may write arbitrary bytes, and the remaining entries must stay in use.
+	private Object decode(PlatformStore.Entry entry) {
+		String reason = "not a usable configuration or endpoint";
 		try {
-			if (StoreKeys.MEMBERS.nameOf(entry.key()).isPresent()) {
-				return Codec.JSON.decode(entry.value(), Member.class);
-			}
-			if (StoreKeys.GROUPS.nameOf(entry.key()).isPresent()) {
-				return Codec.JSON.decode(entry.value(), ZoneGroups.class);
+			Optional<Object> decoded = decodeByKey(entry);
+			if (decoded.isPresent()) {
+				return decoded.get();
 			}
 		}
-		catch (ServingException ex) {
-			this.log.record(LogEvent.FACT_REFUSED, "key", entry.key(), "revision", entry.revision(), "reason",
-					ex.getMessage());
-			return null;
+		catch (RuntimeException ex) {
+			reason = ServingException.from(ex).getMessage();
 		}
-		Object value = this.decoder.endpoint(entry)
-			.<Object>map((endpoint) -> endpoint)
-			.or(() -> this.decoder.evacuatedZone(entry).map(EvacuatedZone::new))
-			.or(() -> this.decoder.configuration(entry))
-			.orElse(null);
-		if (value instanceof ServingConfiguration configuration) {
-			this.log.record(LogEvent.CONFIGURATION_IN_FORCE, "version", configuration.version(), "revision",
-					entry.revision());
-		}
-		else if (value instanceof EvacuatedZone zone) {
-			this.log.record(LogEvent.ZONE_EVACUATED, "zone", zone.name(), "revision", entry.revision());
+		this.log.record(LogEvent.FACT_REFUSED, "key", entry.key(), "revision", entry.revision(), "reason", reason);
+		return null;
+	}
+
+	private Optional<Object> decodeByKey(PlatformStore.Entry entry) {
+		if (StoreKeys.MEMBERS.nameOf(entry.key()).isPresent()) {
+			return Optional.of(Codec.JSON.decode(entry.value(), Member.class));
 		}
-		else if (value == null && StoreKeys.LEASES.nameOf(entry.key()).isEmpty()) {
-			this.log.record(LogEvent.FACT_REFUSED, "key", entry.key(), "revision", entry.revision(), "reason",
-					"not a usable configuration or endpoint");
+		if (StoreKeys.GROUPS.nameOf(entry.key()).isPresent()) {
+			return Optional.of(Codec.JSON.decode(entry.value(), ZoneGroups.class));
 		}
-		return value;
+		return StoreKeys.LEASES.nameOf(entry.key())
+			.<Object>map((role) -> new RoleHolder(role, new String(entry.value(), StandardCharsets.UTF_8)))
+			.or(() -> this.decoder.endpoint(entry))
+			.or(() -> this.decoder.evacuatedZone(entry).map(EvacuatedZone::new))
+			.or(() -> this.decoder.configuration(entry));
 	}
 
-	private record DecodedEntry(long revision, Object value) {
+	private record EvacuatedZone(String name) {
 
 	}
 
-	private record EvacuatedZone(String name) {
+	private record RoleHolder(String role, String name) {
+
+	}
+
+	/**
+	 * A map that is copied for a snapshot only after a change.
+	 *
+	 * @param <V> the type of the values
+	 */
+	private static final class SnapshotMap<V> {
+
+		private final Map<String, V> entries = new HashMap<>();
+
+		private Map<String, V> snapshot = Map.of();
+
+		private boolean changed;
+
+		private void put(String key, V value) {
+			this.entries.put(key, value);
+			this.changed = true;
+		}
+
+		private void remove(String key) {
+			this.entries.remove(key);
+			this.changed = true;
+		}
+
+		private Map<String, V> snapshot() {
+			if (this.changed) {
+				this.snapshot = Map.copyOf(this.entries);
+				this.changed = false;
+			}
+			return this.snapshot;
+		}
 
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
@@ -5,9 +5,11 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.monsoonvalve.core.connection.PlatformStore;
 
@@ -26,6 +28,8 @@
 
 	private final Deque<WatchableStore.Change> history = new ArrayDeque<>();
 
+	private final Set<String> changedKeys = new HashSet<>();
+
 	private long historyStartRevision;
 
 	private long revision;
@@ -38,6 +42,29 @@
 		return this.entries.values();
 	}
 
+	/**
+	 * Returns an entry.
+	 * @param key the entry's key
+	 * @return the entry, empty if the key doesn't exist
+	 */
+	Optional<PlatformStore.Entry> entry(String key) {
+		return Optional.ofNullable(this.entries.get(key));
+	}
+
+	/**
+	 * Returns the keys that were added, changed or removed since the last call.
+	 * @return the keys
+	 */
+	Set<String> takeChangedKeys() {
+		Set<String> taken = Set.copyOf(this.changedKeys);
+		this.changedKeys.clear();
+		return taken;
+	}
+
+	private boolean hasRevision(String key, long expected) {
+		return entry(key).filter((current) -> current.revision() == expected).isPresent();
+	}
+
 	/**
 	 * Replaces the content by a snapshot. A key that the snapshot lacks is removed until
 	 * a later change adds it.
@@ -50,6 +77,14 @@
 		}
 		Map<String, PlatformStore.Entry> snapshotEntries = new HashMap<>();
 		snapshot.entries().forEach((entry) -> snapshotEntries.put(entry.key(), entry));
+		snapshotEntries.values()
+			.stream()
+			.filter((entry) -> !hasRevision(entry.key(), entry.revision()))
+			.forEach((entry) -> this.changedKeys.add(entry.key()));
+		this.entries.keySet()
+			.stream()
+			.filter((key) -> !snapshotEntries.containsKey(key))
+			.forEach(this.changedKeys::add);
 		this.entries.clear();
 		this.entries.putAll(snapshotEntries);
 		this.revision = snapshot.revision();
@@ -80,6 +115,7 @@
 		if (current != null && current.revision() >= change.revision()) {
 			return false;
 		}
+		this.changedKeys.add(change.key());
 		if (change.value() == null) {
 			return this.entries.remove(change.key()) != null;
 		}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Collectors;
 
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.PlatformStore;
@@ -74,7 +75,7 @@
 
 	private final DecisionLog log;
 
-	private final Map<String, EndpointRecord> lastHeadRecords = new HashMap<>();
+	private final Map<ReplicaGroup.MemberVm, EndpointRecord> lastHeadRecords = new HashMap<>();
 
 	private final Map<String, SuspectedHead> suspectedHeads = new HashMap<>();
 
@@ -108,13 +109,12 @@
 
 	// A head whose record was removed may still be reachable at its last address.
 	private void retainHeadRecords() {
-		Set<String> heads = this.view.groupsOf(this.zone).groups().headIncarnations();
+		List<ReplicaGroup> groups = this.view.groupsOf(this.zone).groups().groups();
+		Set<ReplicaGroup.MemberVm> heads = groups.stream().map(ReplicaGroup::head).collect(Collectors.toSet());
 		this.lastHeadRecords.keySet().retainAll(heads);
-		this.view.endpoints()
-			.values()
-			.stream()
-			.filter((record) -> heads.contains(record.incarnation()))
-			.forEach((record) -> this.lastHeadRecords.put(record.incarnation(), record));
+		heads.stream()
+			.filter(this::hasRecord)
+			.forEach((head) -> this.lastHeadRecords.put(head, this.view.endpoints().get(head.id())));
 	}
 
 	/**
@@ -124,7 +124,6 @@
 	void probeGroupOf(EndpointRecord head) {
 		if (this.roleHeld && head.zone().equals(this.zone)) {
 			this.view.groupsOf(this.zone)
-				.groups()
 				.groupOf(ReplicaGroup.MemberVm.of(head))
 				.ifPresent((group) -> this.prober.probe(presentRecords(group)));
 		}
@@ -288,7 +287,7 @@
 
 	private void requestClose(ReplicaGroup group, SuspectedHead suspected) {
 		long now = EventLoop.nowMillis();
-		Optional<EndpointRecord> lastRecord = Optional.ofNullable(this.lastHeadRecords.get(group.head().incarnation()));
+		Optional<EndpointRecord> lastRecord = Optional.ofNullable(this.lastHeadRecords.get(group.head()));
 		if (lastRecord.isEmpty() || suspected.closePending
 				|| now - suspected.lastCloseMillis < suspected.retryDelayMillis) {
 			return;
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/FleetView.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/FleetView.java
@@ -1,8 +1,11 @@
 package org.monsoonvalve.gateway.version;
 
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * A process's view of the fleet at one revision of the platform's store.
@@ -58,16 +61,58 @@
 	public boolean servesWholeGroup(EndpointRecord head) {
 		return head.membership()
 			.filter(GroupMembership::serving)
-			.flatMap((membership) -> groupsOf(head.zone()).groups()
-				.groups()
-				.stream()
-				.filter((group) -> group.name().equals(membership.group()) && group.epoch() == membership.epoch())
-				.findFirst())
-			.filter((group) -> group.head().equals(ReplicaGroup.MemberVm.of(head)))
+			.flatMap((membership) -> groupsOf(head.zone()).groupOf(ReplicaGroup.MemberVm.of(head))
+				.filter((group) -> group.name().equals(membership.group()) && group.epoch() == membership.epoch()))
+			.filter((group) -> group.head().id().equals(head.id()))
 			.filter((group) -> group.members().stream().allMatch((member) -> isActiveMember(group, member)))
 			.isPresent();
 	}
 
+	/**
+	 * Finds the endpoints that were added, changed or removed since an older view.
+	 * @param older the older view
+	 * @return the identifiers of the endpoints
+	 */
+	public Set<String> endpointsChangedSince(FleetView older) {
+		if (this.endpoints == older.endpoints) {
+			return Set.of();
+		}
+		Set<String> changed = new HashSet<>();
+		this.endpoints.forEach((id, record) -> {
+			if (record != older.endpoints.get(id)) {
+				changed.add(id);
+			}
+		});
+		older.endpoints.keySet().stream().filter((id) -> !this.endpoints.containsKey(id)).forEach(changed::add);
+		return changed;
+	}
+
+	/**
+	 * Finds the zones whose planned groups or evacuation changed since an older view.
+	 * @param older the older view
+	 * @return the zones
+	 */
+	public Set<String> zonesChangedSince(FleetView older) {
+		Set<String> zones = new HashSet<>(this.groups.keySet());
+		zones.addAll(older.groups.keySet());
+		zones.removeIf((zone) -> this.groups.get(zone) == older.groups.get(zone));
+		Stream.concat(this.evacuatedZones.stream(), older.evacuatedZones.stream())
+			.filter((zone) -> this.evacuatedZones.contains(zone) != older.evacuatedZones.contains(zone))
+			.forEach(zones::add);
+		return zones;
+	}
+
+	/**
+	 * Finds the head of the group that an endpoint is planned in.
+	 * @param id the endpoint's identifier
+	 * @return the identifier of the head, empty if the endpoint has no record or group
+	 */
+	public Optional<String> headOf(String id) {
+		return Optional.ofNullable(this.endpoints.get(id))
+			.flatMap((record) -> groupsOf(record.zone()).groupOf(ReplicaGroup.MemberVm.of(record)))
+			.map((group) -> group.head().id());
+	}
+
 	private boolean isActiveMember(ReplicaGroup group, ReplicaGroup.MemberVm member) {
 		EndpointRecord record = this.endpoints.get(member.id());
 		return record != null && record.bornMillis() == member.bornMillis() && !record.draining()
@@ -75,12 +120,56 @@
 	}
 
 	/**
-	 * The planned groups of a zone with the revision that an update must match.
-	 *
-	 * @param groups the groups
-	 * @param revision the store's revision of the value, 0 if there is none
+	 * The planned groups of a zone with the revision that an update must match, indexed
+	 * by member.
 	 */
-	public record PlannedGroups(ZoneGroups groups, long revision) {
+	public static final class PlannedGroups {
+
+		private final ZoneGroups groups;
+
+		private final long revision;
+
+		private final Map<ReplicaGroup.MemberVm, ReplicaGroup> groupByMember;
+
+		/**
+		 * Creates a value.
+		 * @param groups the groups
+		 * @param revision the store's revision of the value, 0 if there is none
+		 */
+		public PlannedGroups(ZoneGroups groups, long revision) {
+			this.groups = groups;
+			this.revision = revision;
+			this.groupByMember = groups.groups()
+				.stream()
+				.flatMap((group) -> group.members().stream().map((member) -> Map.entry(member, group)))
+				.collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue,
+						(first, second) -> second));
+		}
+
+		/**
+		 * Returns the groups.
+		 * @return the groups
+		 */
+		public ZoneGroups groups() {
+			return this.groups;
+		}
+
+		/**
+		 * Returns the revision that an update must match.
+		 * @return the store's revision of the value, 0 if there is none
+		 */
+		public long revision() {
+			return this.revision;
+		}
+
+		/**
+		 * Finds the group that a VM is planned in.
+		 * @param member the VM
+		 * @return the group, the last one if there are several, empty if there is none
+		 */
+		public Optional<ReplicaGroup> groupOf(ReplicaGroup.MemberVm member) {
+			return Optional.ofNullable(this.groupByMember.get(member));
+		}
 
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/Member.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/Member.java
@@ -1,5 +1,7 @@
 package org.monsoonvalve.gateway.version;
 
+import java.util.Objects;
+
 import org.monsoonvalve.core.connection.Address;
 
 /**
@@ -12,4 +14,14 @@
  */
 public record Member(String name, String zone, Address peerAddress) {
 
+	/**
+	 * Creates a member.
+	 * @throws NullPointerException if a component is {@code null}
+	 */
+	public Member {
+		Objects.requireNonNull(name, "name");
+		Objects.requireNonNull(zone, "zone");
+		Objects.requireNonNull(peerAddress, "peerAddress");
+	}
+
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * Plans the replica groups of one availability zone and the orders that carry them out.
@@ -197,15 +198,35 @@
 	 * @param staging the models that are being loaded, by incarnation
 	 * @param loadAllowance the number of weight loads that may start now
 	 * @param vmsElsewhere the number of VMs in other zones' groups, by model
+	 * @param endpointByMember the endpoints by the member that they can be in a group
 	 */
 	public record ZoneSnapshot(String zone, EngineProfile engine, List<EndpointRecord> endpoints, ZoneGroups groups,
 			Map<String, HeadLiveness> liveness, Predicate<EndpointRecord> busy, Map<String, String> staging,
-			int loadAllowance, Map<String, Integer> vmsElsewhere) {
+			int loadAllowance, Map<String, Integer> vmsElsewhere,
+			Map<ReplicaGroup.MemberVm, EndpointRecord> endpointByMember) {
+
+		/**
+		 * Creates a snapshot that is indexed by member.
+		 * @param zone the availability zone
+		 * @param engine the profile of the engine service
+		 * @param endpoints the zone's endpoints of that service
+		 * @param groups the groups planned so far
+		 * @param liveness the liveness of heads without a record, by group name
+		 * @param busy tells whether an order to an endpoint is in progress
+		 * @param staging the models that are being loaded, by incarnation
+		 * @param loadAllowance the number of weight loads that may start now
+		 * @param vmsElsewhere the number of VMs in other zones' groups, by model
+		 */
+		public ZoneSnapshot(String zone, EngineProfile engine, List<EndpointRecord> endpoints, ZoneGroups groups,
+				Map<String, HeadLiveness> liveness, Predicate<EndpointRecord> busy, Map<String, String> staging,
+				int loadAllowance, Map<String, Integer> vmsElsewhere) {
+			this(zone, engine, endpoints, groups, liveness, busy, staging, loadAllowance, vmsElsewhere, endpoints
+				.stream()
+				.collect(Collectors.toMap(ReplicaGroup.MemberVm::of, (record) -> record, (first, second) -> first)));
+		}
 
 		Optional<EndpointRecord> record(ReplicaGroup.MemberVm member) {
-			return this.endpoints.stream()
-				.filter((record) -> record.id().equals(member.id()) && record.bornMillis() == member.bornMillis())
-				.findFirst();
+			return Optional.ofNullable(this.endpointByMember.get(member));
 		}
 
 		private HeadLiveness liveness(ReplicaGroup group) {
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointSetTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointSetTests.java
@@ -106,6 +106,51 @@
 		Assert.assertEquals(ids("m", Optional.of("small")), List.of("e"));
 	}
 
+	// A head's own record stays the same while a member of its group is lost, restarts or
+	// joins another group.
+	@Test
+	public void aHeadFollowsTheMembersOfItsGroup() {
+		ZoneGroups planned = ZoneGroups.empty()
+			.with("near", "small", List.of(new ReplicaGroup.MemberVm("a", 1), new ReplicaGroup.MemberVm("b", 1)));
+		Map<String, FleetView.PlannedGroups> groups = Map.of("near", new FleetView.PlannedGroups(planned, 1));
+		EndpointRecord head = engine("a", "near", false, new GroupMembership("near-1", 1, 0, GroupState.OPEN));
+		EndpointRecord member = engine("b", "near", false, new GroupMembership("near-1", 1, 1, GroupState.READY));
+		updateGroups(3, Map.of("a", head, "b", member), Map.of());
+		Assert.assertEquals(ids("m", Optional.of("small")), List.of(), "the group is not planned yet");
+		updateGroups(4, Map.of("a", head, "b", member), groups);
+		Assert.assertEquals(ids("m", Optional.of("small")), List.of("a"));
+		updateGroups(5, Map.of("a", head), groups);
+		Assert.assertEquals(ids("m", Optional.of("small")), List.of(), "the member is lost");
+		updateGroups(6, Map.of("a", head, "b", member), groups);
+		Assert.assertEquals(ids("m", Optional.of("small")), List.of("a"));
+		EndpointRecord elsewhere = engine("b", "near", false, new GroupMembership("near-9", 9, 1, GroupState.READY));
+		updateGroups(7, Map.of("a", head, "b", elsewhere), groups);
+		Assert.assertEquals(ids("m", Optional.of("small")), List.of(), "the member is in another group");
+		updateGroups(8, Map.of("a", head, "b", member), groups);
+		updateGroups(9, Map.of("a", head, "b", member), Map.of());
+		Assert.assertEquals(ids("m", Optional.of("small")), List.of(), "the group is no longer planned");
+	}
+
+	private void updateGroups(long revision, Map<String, EndpointRecord> records,
+			Map<String, FleetView.PlannedGroups> groups) {
+		this.endpoints
+			.update(new FleetView(revision, Optional.empty(), 0, Set.of(), records, Map.of(), groups, Map.of()));
+	}
+
+	@Test
+	public void aRestartUnderTheSameIdentifierIsAnotherEndpoint() {
+		Endpoint first = this.endpoints.eligible("s", Optional.empty()).get(0);
+		EndpointRecord before = first.record();
+		first.requestStarted();
+		EndpointRecord after = new EndpointRecord(before.id(), "s", before.address(), before.zone(), 6, false, 0, 2, "",
+				List.of(), List.of(), Optional.empty(), 2);
+		updateGroups(3, Map.of(after.id(), after), Map.of());
+		List<Endpoint> eligible = this.endpoints.eligible("s", Optional.empty());
+		Assert.assertEquals(eligible.size(), 1);
+		Assert.assertNotSame(eligible.get(0), first);
+		Assert.assertEquals(eligible.get(0).load(EventLoop.nowMillis()), 0);
+	}
+
 	private List<String> ids(String service, Optional<String> model) {
 		return this.endpoints.eligible(service, model)
 			.stream()
--- /dev/null
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FleetViewBuilderTests.java
@@ -0,0 +1,138 @@
+package org.monsoonvalve.gateway.process;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.gateway.version.ClientLimits;
+import org.monsoonvalve.gateway.version.EndpointRecord;
+import org.monsoonvalve.gateway.version.FleetView;
+import org.monsoonvalve.gateway.version.ServingConfiguration;
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class FleetViewBuilderTests {
+
+	private static final int ENDPOINTS = 760;
+
+	private final List<String> decodedKeys = new ArrayList<>();
+
+	private StoreReplica replica;
+
+	private FleetViewBuilder builder;
+
+	private long revision;
+
+	@BeforeMethod
+	public void createBuilder() {
+		this.replica = new StoreReplica();
+		this.builder = new FleetViewBuilder(new TextDecoder(),
+				DecisionLog.start(Clock.systemUTC(), "gateway-1", (line) -> {
+				}));
+		this.revision = 0;
+	}
+
+	private FleetView apply(String key, String value) {
+		this.revision++;
+		byte[] bytes = (value != null) ? value.getBytes(StandardCharsets.UTF_8) : null;
+		this.replica.apply(new WatchableStore.Changes(this.revision,
+				List.of(new WatchableStore.Change(key, this.revision, bytes))));
+		return this.builder.build(this.replica);
+	}
+
+	// In a large fleet some endpoint changes all the time. The cost of a change must not
+	// grow with the number of endpoints that did not change.
+	@Test
+	public void aChangeInALargeFleetDecodesOneEntryAndSharesWhatDidNotChange() {
+		this.revision = ENDPOINTS;
+		this.replica.reset(new PlatformStore.Snapshot(this.revision,
+				IntStream.range(0, ENDPOINTS)
+					.mapToObj((i) -> new PlatformStore.Entry("servers/vm-" + i, i + 1, new byte[] { 'e' }))
+					.toList()));
+		FleetView first = this.builder.build(this.replica);
+		Assert.assertEquals(first.endpoints().size(), ENDPOINTS);
+		this.decodedKeys.clear();
+		FleetView second = apply("servers/vm-7", "e");
+		Assert.assertEquals(this.decodedKeys, List.of("servers/vm-7"));
+		Assert.assertEquals(second.endpointsChangedSince(first), Set.of("vm-7"));
+		FleetView third = apply("monsoonvalve/leases/planner-kano-a", "gateway-1");
+		Assert.assertSame(third.endpoints(), second.endpoints());
+		Assert.assertEquals(third.roleHolders(), Map.of("planner-kano-a", "gateway-1"));
+	}
+
+	@Test
+	public void aSnapshotThatLacksAnEntryRemovesIt() {
+		apply("servers/vm-1", "e");
+		apply("servers/vm-2", "e");
+		this.revision = 10;
+		this.replica.reset(new PlatformStore.Snapshot(10,
+				List.of(new PlatformStore.Entry("servers/vm-2", 2, new byte[] { 'e' }))));
+		FleetView view = this.builder.build(this.replica);
+		Assert.assertEquals(view.endpoints().keySet(), Set.of("vm-2"));
+		Assert.assertTrue(apply("servers/vm-2", null).endpoints().isEmpty());
+	}
+
+	// One entry that makes its decoder fail must neither stop the process from following
+	// the store nor hide any other entry.
+	@Test
+	public void anEntryThatCannotBeDecodedLeavesTheOthersInUse() {
+		apply("servers/vm-1", "e");
+		Assert.assertEquals(apply("servers/vm-2", "throw").endpoints().keySet(), Set.of("vm-1"));
+		Assert.assertTrue(apply("monsoonvalve/members/gateway-2", "{\"zone\":\"kano-a\"}").members().isEmpty());
+		Assert.assertTrue(apply("monsoonvalve/groups/kano-a", "{}").groups().isEmpty());
+		Assert.assertTrue(apply("monsoonvalve/groups/kano-a", "\u0000").groups().isEmpty());
+		Assert.assertEquals(apply("servers/vm-2", "e").endpoints().keySet(), Set.of("vm-1", "vm-2"));
+	}
+
+	@Test
+	public void theLastUsableConfigurationStaysInForce() {
+		Assert.assertEquals(apply("config", "c7").configuration().orElseThrow().version(), 7);
+		FleetView unusable = apply("config", "unreadable");
+		Assert.assertEquals(unusable.configuration().orElseThrow().version(), 7);
+		Assert.assertEquals(unusable.configurationRevision(), 1);
+		Assert.assertEquals(apply("config", "c9").configuration().orElseThrow().version(), 9);
+	}
+
+	private final class TextDecoder implements EntryDecoder {
+
+		private static String text(PlatformStore.Entry entry) {
+			return new String(entry.value(), StandardCharsets.UTF_8);
+		}
+
+		@Override
+		public Optional<ServingConfiguration> configuration(PlatformStore.Entry entry) {
+			return Optional.of(text(entry))
+				.filter((text) -> text.startsWith("c"))
+				.map((text) -> ServingConfiguration.of(Long.parseLong(text.substring(1)), List.of(), List.of(),
+						Map.of(), false, new ClientLimits(1, 1, 1, 1)));
+		}
+
+		@Override
+		public Optional<String> evacuatedZone(PlatformStore.Entry entry) {
+			return Optional.empty();
+		}
+
+		@Override
+		public Optional<EndpointRecord> endpoint(PlatformStore.Entry entry) {
+			FleetViewBuilderTests.this.decodedKeys.add(entry.key());
+			if (text(entry).equals("throw")) {
+				throw new IllegalStateException("unexpected value");
+			}
+			return Optional.of(entry)
+				.filter((candidate) -> text(candidate).equals("e"))
+				.map((candidate) -> new EndpointRecord(candidate.key().substring("servers/".length()), "s",
+						new Address("127.0.0.1", 1), "kano-a", 6, false, 0, 1, "", List.of(), List.of(),
+						Optional.empty(), candidate.revision()));
+		}
+
+	}
+
+}
