Don't forward a request whose caller has left before it was read

Change: a request is handled after the sockets have been read once more, so that the end of its connection is known first. ExchangeTests has the case; 20 requests reached the endpoint before, none does now. Ruled out: a late deadline (it is taken from the time of reading, and callers leave sooner).

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EventLoop.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EventLoop.java
@@ -4,6 +4,8 @@
 import java.io.UncheckedIOException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.Set;
@@ -34,6 +36,10 @@
 
 	private final PriorityQueue<Timer> timers = new PriorityQueue<>();
 
+	private List<Runnable> afterNextSelect = new ArrayList<>();
+
+	private List<Runnable> afterThisSelect = new ArrayList<>();
+
 	private final Consumer<Throwable> onTaskFailure;
 
 	private final TCPNIOTransport transport;
@@ -99,6 +105,15 @@
 		}
 	}
 
+	/**
+	 * Runs a task after the sockets have been read once more, so that it can rely on what
+	 * had arrived by now, such as the end of a connection. May be called on any thread.
+	 * @param task the task
+	 */
+	public void runAfterNextRead(Runnable task) {
+		runInLoop(() -> this.afterNextSelect.add(task));
+	}
+
 	/**
 	 * Runs a task once after a delay. Must be called on the loop's thread.
 	 * @param delayMillis the delay, in milliseconds
@@ -163,11 +178,15 @@
 		for (Runnable task = this.tasks.poll(); task != null; task = this.tasks.poll()) {
 			runAndReportFailure(task);
 		}
+		List<Runnable> due = this.afterThisSelect;
+		this.afterThisSelect = this.afterNextSelect;
+		this.afterNextSelect = new ArrayList<>();
+		due.forEach(this::runAndReportFailure);
 		long now = nowMillis();
 		while (!this.timers.isEmpty() && this.timers.peek().dueMillis <= now) {
-			Timer due = this.timers.poll();
-			if (!due.cancelled) {
-				runAndReportFailure(due.task);
+			Timer timer = this.timers.poll();
+			if (!timer.cancelled) {
+				runAndReportFailure(timer.task);
 			}
 		}
 	}
@@ -181,6 +200,10 @@
 		}
 	}
 
+	private boolean hasWork() {
+		return !this.tasks.isEmpty() || !this.afterThisSelect.isEmpty() || !this.afterNextSelect.isEmpty();
+	}
+
 	private long selectTimeoutMillis() {
 		while (!this.timers.isEmpty() && this.timers.peek().cancelled) {
 			this.timers.poll();
@@ -247,7 +270,7 @@
 		@Override
 		public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
 			Selector current = runner.getSelector();
-			long timeoutMillis = EventLoop.this.tasks.isEmpty() ? selectTimeoutMillis() : 0;
+			long timeoutMillis = hasWork() ? 0 : selectTimeoutMillis();
 			if (timeoutMillis > 0 && runner.getPostponedTasks().isEmpty()) {
 				current.select(timeoutMillis);
 			}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpServer.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpServer.java
@@ -26,6 +26,7 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.monsoonvalve.core.request.ServingException;
 
 /**
  * An HTTP server that passes complete requests to a handler. The handler may respond from
@@ -85,7 +86,8 @@
 	}
 
 	/**
-	 * Starts a server on the thread of an event loop.
+	 * Starts a server on the thread of an event loop. A request whose client has
+	 * disconnected by the time that it is read is not passed to the handler.
 	 * @param loop the loop, which keeps running when the server is closed
 	 * @param address the address to listen on
 	 * @param limits the size limits
@@ -94,7 +96,25 @@
 	 * @throws UncheckedIOException if the server cannot listen on the address
 	 */
 	public static HttpServer start(EventLoop loop, Address address, HttpLimits limits, Consumer<IncomingCall> handler) {
-		return listen(loop.transport(), false, address, limits, handler);
+		return listen(loop.transport(), false, address, limits, (call) -> loop.runAfterNextRead(() -> {
+			if (!call.answered()) {
+				handleOrRefuse(handler, call);
+			}
+		}));
+	}
+
+	/**
+	 * Passes a request to a handler and refuses it if the handler throws.
+	 * @param handler the handler
+	 * @param call the request
+	 */
+	static void handleOrRefuse(Consumer<IncomingCall> handler, IncomingCall call) {
+		try {
+			handler.accept(call);
+		}
+		catch (RuntimeException ex) {
+			call.refuse(ServingException.from(ex));
+		}
 	}
 
 	private static HttpServer listen(TCPNIOTransport transport, boolean ownsTransport, Address address,
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/ServerConnection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/ServerConnection.java
@@ -167,12 +167,7 @@
 	}
 
 	private void dispatch(IncomingCall call) {
-		try {
-			this.handler.accept(call);
-		}
-		catch (RuntimeException ex) {
-			call.refuse(ServingException.from(ex));
-		}
+		HttpServer.handleOrRefuse(this.handler, call);
 	}
 
 	void responseEnded(IncomingCall call, boolean keepAlive) {
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
@@ -310,4 +311,29 @@
 		Assert.assertTrue(first.callerDisconnected.await(500, TimeUnit.MILLISECONDS));
 	}
 
+	// A process that starts under load reads requests late. A caller that gave up in the
+	// meantime has closed its connection, which is known only after the request was read.
+	@Test
+	public void aRequestWhoseCallerLeftBeforeItWasReadIsNotSentToAnEndpoint() throws Exception {
+		ScriptedEndpoint endpoint = endpoint(OK, ScriptedEndpoint.ConnectionAction.KEEP);
+		serve(RequestKind.SAFE, endpoint.address());
+		CountDownLatch busy = new CountDownLatch(1);
+		this.loop.execute(() -> awaitUninterruptibly(busy));
+		for (int i = 0; i < 20; i++) {
+			send().close();
+		}
+		busy.countDown();
+		Assert.assertTrue(sendAndRead().endsWith("ok"), "a caller that waits gets its response");
+		Assert.assertEquals(endpoint.requests.size(), 1);
+	}
+
+	private static void awaitUninterruptibly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 }
