Bound what an endpoint's response may occupy, and require its identifier

Cause: the body of a rejection or of a retryable failure, and an event without an end, were kept for as long as the endpoint sent them; any byte counted as progress, so that a stream of comments or letters was never stalled; a response without the request's identifier was taken for its own, and a late 'not run' of another request made a request that may run once be sent again. Change: 64 KB of a body that may not be passed on and 256 KB of one event, after which the connection is closed and the request continues as after a lost response (a rejection as a rejection); only events are progress; a response must carry the identifier. Result: ExchangeTests plays nine endless responses, two trickling ones and two without identifier. Seven of these cases failed before: endless bodies of 500 and 503, an endless event, both trickling streams and both without identifier; endless heads, lines, interim responses, chunk extensions and trailers were cut off before, too.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
@@ -1,6 +1,7 @@
 package org.monsoonvalve.gateway.request;
 
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.Headers;
@@ -24,6 +25,9 @@
 	 */
 	private static final int MAX_BUFFERED_BYTES = 64 * 1024;
 
+	/** Largest event of a stream that is kept until it is complete. */
+	private static final int MAX_EVENT_BYTES = 256 * 1024;
+
 	/** Interval of stall checks; about a quarter of the shortest stall timeout. */
 	private static final long STALL_CHECK_MILLIS = 60;
 
@@ -176,12 +180,13 @@
 		if (this.stopped) {
 			return;
 		}
-		recordProgress();
 		HeaderNames names = this.dispatcher.names();
-		if (replyHeaders.get(names.requestId()).filter((id) -> !id.equals(this.exchange.requestId())).isPresent()) {
-			responseFailed(new ServingException(FailureCode.ENDPOINT_LOST, "the response belongs to another request"));
+		if (!replyHeaders.get(names.requestId()).filter(this.exchange.requestId()::equals).isPresent()) {
+			responseFailed(new ServingException(FailureCode.ENDPOINT_LOST,
+					"the response doesn't carry the identifier of the request"));
 			return;
 		}
+		recordProgress();
 		this.status = replyStatus;
 		this.headers = replyHeaders;
 		replyHeaders.get(names.load()).ifPresent(this::recordLoad);
@@ -218,18 +223,48 @@
 		if (this.stopped) {
 			return;
 		}
-		recordProgress();
 		if (this.splitter != null) {
-			this.splitter.add(chunk).forEach(this::relay);
+			eventsArrived(chunk);
+			return;
 		}
-		else if (this.relaying) {
+		recordProgress();
+		if (this.relaying) {
 			this.exchange.response().write(chunk);
+			return;
+		}
+		this.buffered.writeBytes(chunk);
+		if (this.buffered.size() > MAX_BUFFERED_BYTES) {
+			bufferFull();
+		}
+	}
+
+	// Only events are progress, as an endpoint may send comments or parts of an event
+	// while its stream stands still.
+	private void eventsArrived(byte[] chunk) {
+		List<EventSplitter.Event> events = this.splitter.add(chunk);
+		if (events.stream().anyMatch(EventSplitter.Event::hasData)) {
+			recordProgress();
+		}
+		events.forEach(this::relay);
+		if (this.splitter.partialBytes() > MAX_EVENT_BYTES) {
+			responseFailed(new ServingException(FailureCode.ENDPOINT_LOST,
+					"an event of the stream is larger than " + MAX_EVENT_BYTES + " bytes"));
+		}
+	}
+
+	// The body of a response that may not be passed on can be endless.
+	private void bufferFull() {
+		if (!retryableStatus()) {
+			relayBuffered();
+		}
+		else if (notRunByEndpoint()) {
+			stop();
+			this.endpoint.suspect();
+			this.exchange.declined("the endpoint responded " + this.status + " without running it");
 		}
 		else {
-			this.buffered.writeBytes(chunk);
-			if (this.buffered.size() > MAX_BUFFERED_BYTES && !retryableStatus()) {
-				relayBuffered();
-			}
+			responseFailed(new ServingException(FailureCode.ENDPOINT_LOST,
+					"the body of a response with status " + this.status + " is too large"));
 		}
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/EventSplitter.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/EventSplitter.java
@@ -15,6 +15,8 @@
 
 	private static final String ID_FIELD = "id:";
 
+	private static final String COMMENT = ":";
+
 	private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
 
 	private int lineLength;
@@ -50,22 +52,33 @@
 		return this.partial.size() > 0;
 	}
 
+	/**
+	 * Returns the size of the event that has begun but not ended.
+	 * @return the number of bytes
+	 */
+	int partialBytes() {
+		return this.partial.size();
+	}
+
 	/**
 	 * A complete event.
 	 *
 	 * @param bytes the event, including the blank line that terminates it
 	 * @param id its numeric identifier, if it has one
+	 * @param hasData whether it has any line that is not a comment
 	 */
-	record Event(byte[] bytes, Optional<Long> id) {
+	record Event(byte[] bytes, Optional<Long> id, boolean hasData) {
 
 		private static Event of(byte[] bytes) {
+			List<String> lines = new String(bytes, StandardCharsets.UTF_8).lines().toList();
 			return new Event(bytes,
-					new String(bytes, StandardCharsets.UTF_8).lines()
+					lines.stream()
 						.filter((line) -> line.startsWith(ID_FIELD))
 						.map((line) -> line.substring(ID_FIELD.length()).strip())
 						.filter((text) -> text.matches("[0-9]{1,18}"))
 						.map(Long::valueOf)
-						.findFirst());
+						.findFirst(),
+					lines.stream().anyMatch((line) -> !line.isEmpty() && !line.startsWith(COMMENT)));
 		}
 
 	}
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -336,4 +336,74 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] endlessResponses() {
+		String head = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n";
+		String chunked = "Request-Id: $ID\r\nTransfer-Encoding: chunked\r\n\r\n";
+		return new Object[][] { { "", ScriptedEndpoint.ConnectionAction.ENDLESS_LETTERS },
+				{ head + "X-A: ", ScriptedEndpoint.ConnectionAction.ENDLESS_LETTERS },
+				{ head, ScriptedEndpoint.ConnectionAction.ENDLESS_LINES },
+				{ "", ScriptedEndpoint.ConnectionAction.ENDLESS_INTERIM_RESPONSES },
+				{ "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n" + chunked, ScriptedEndpoint.ConnectionAction.ENDLESS_CHUNKS },
+				{ "HTTP/1.1 500 Failed\r\n" + chunked, ScriptedEndpoint.ConnectionAction.ENDLESS_CHUNKS },
+				{ STREAM.formatted(1), ScriptedEndpoint.ConnectionAction.ENDLESS_CHUNKS },
+				{ STREAM.formatted(1) + "5;", ScriptedEndpoint.ConnectionAction.ENDLESS_LETTERS },
+				{ STREAM.formatted(1) + "0\r\n", ScriptedEndpoint.ConnectionAction.ENDLESS_LINES } };
+	}
+
+	// The endpoint sends as fast as the connection takes it, for as long as it is open.
+	// The
+	// buffers of both sockets hold some megabytes.
+	@Test(dataProvider = "endlessResponses")
+	public void anEndlessResponseIsCutOffAndItsRequestSentToAnotherEndpoint(String response,
+			ScriptedEndpoint.ConnectionAction action) throws Exception {
+		ScriptedEndpoint first = endpoint(response, action);
+		ScriptedEndpoint second = endpoint(STREAM.formatted(2) + chunk(event(1)) + "0\r\n\r\n",
+				ScriptedEndpoint.ConnectionAction.KEEP);
+		serve(RequestKind.STREAM, first.address(), second.address());
+		String answer = sendAndRead();
+		Assert.assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n"), answer);
+		Assert.assertEquals(answer.split("data: e").length - 1, 1, answer);
+		Assert.assertTrue(first.callerDisconnected.await(1, TimeUnit.SECONDS), "the connection is closed");
+		Assert.assertTrue(first.repeatedBytes.get() < 16_000_000, "sent " + first.repeatedBytes.get());
+	}
+
+	@DataProvider
+	public Object[][] tricklingStreams() {
+		return new Object[][] { { ScriptedEndpoint.ConnectionAction.COMMENTS_NOW_AND_THEN },
+				{ ScriptedEndpoint.ConnectionAction.LETTERS_NOW_AND_THEN } };
+	}
+
+	@Test(dataProvider = "tricklingStreams")
+	public void aStreamThatSendsBytesButNoEventsIsStalled(ScriptedEndpoint.ConnectionAction action) throws IOException {
+		ScriptedEndpoint first = endpoint(STREAM.formatted(1) + chunk(event(1)), action);
+		ScriptedEndpoint second = endpoint(STREAM.formatted(2) + chunk(event(2)) + "0\r\n\r\n",
+				ScriptedEndpoint.ConnectionAction.KEEP);
+		serve(RequestKind.STREAM, first.address(), second.address());
+		String answer = sendAndRead();
+		Assert.assertEquals(answer.split("data: e").length - 1, 2, answer);
+		Assert.assertTrue(answer.endsWith("0\r\n\r\n"), answer);
+	}
+
+	// A response to an earlier request may arrive where this one's is due.
+	@Test
+	public void aResponseWithoutTheRequestsIdentifierIsNotPassedOn() throws IOException {
+		ScriptedEndpoint first = endpoint(OK.replace("Request-Id: $ID\r\n", ""),
+				ScriptedEndpoint.ConnectionAction.KEEP);
+		ScriptedEndpoint second = endpoint(OK, ScriptedEndpoint.ConnectionAction.KEEP);
+		serve(RequestKind.SAFE, first.address(), second.address());
+		Assert.assertTrue(sendAndRead().endsWith("ok"));
+		Assert.assertEquals(second.requests.size(), 1);
+	}
+
+	@Test
+	public void aRefusalWithoutTheRequestsIdentifierDoesNotShowThatTheRequestDidNotRun() throws IOException {
+		ScriptedEndpoint first = endpoint(NOT_RUN.replace("Request-Id: $ID\r\n", ""),
+				ScriptedEndpoint.ConnectionAction.KEEP);
+		ScriptedEndpoint second = endpoint(OK, ScriptedEndpoint.ConnectionAction.KEEP);
+		serve(RequestKind.UNSAFE, first.address(), second.address());
+		Assert.assertTrue(sendAndRead().startsWith("HTTP/1.1 502"));
+		Assert.assertEquals(second.requests.size(), 0);
+	}
+
 }
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -11,6 +12,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.monsoonvalve.core.connection.Address;
 
@@ -27,6 +29,8 @@
 
 	final List<String> requests = Collections.synchronizedList(new ArrayList<>());
 
+	final AtomicLong repeatedBytes = new AtomicLong();
+
 	final CountDownLatch callerDisconnected = new CountDownLatch(1);
 
 	private ScriptedEndpoint(ServerSocket server, String response, ConnectionAction connectionAction) {
@@ -94,6 +98,9 @@
 				if (this.connectionAction == ConnectionAction.CLOSE) {
 					return;
 				}
+				if (this.connectionAction.repeats()) {
+					repeatUntilClosed(socket.getOutputStream());
+				}
 				if (this.connectionAction == ConnectionAction.RESET) {
 					socket.setSoLinger(true, 0);
 					return;
@@ -105,6 +112,21 @@
 		}
 	}
 
+	private void repeatUntilClosed(OutputStream output) throws IOException {
+		try {
+			while (true) {
+				byte[] next = this.connectionAction.repeated.getBytes(StandardCharsets.US_ASCII);
+				output.write(next);
+				output.flush();
+				this.repeatedBytes.addAndGet(next.length);
+				Thread.sleep(this.connectionAction.intervalMillis);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static String readRequest(InputStream input) throws IOException {
 		StringBuilder read = new StringBuilder();
 		while (read.indexOf("\r\n\r\n") < 0) {
@@ -130,13 +152,44 @@
 	enum ConnectionAction {
 
 		/** The connection stays open. */
-		KEEP,
+		KEEP("", 0),
 
 		/** The connection is closed. */
-		CLOSE,
+		CLOSE("", 0),
 
 		/** The connection is reset. */
-		RESET
+		RESET("", 0),
+
+		/** Letters follow without end. */
+		ENDLESS_LETTERS("a".repeat(8000), 0),
+
+		/** Complete header lines follow without end. */
+		ENDLESS_LINES("X: a\r\n".repeat(1000), 0),
+
+		/** Interim responses follow without end. */
+		ENDLESS_INTERIM_RESPONSES("HTTP/1.1 100 Continue\r\n\r\n".repeat(300), 0),
+
+		/** Chunks of letters follow without end. */
+		ENDLESS_CHUNKS("1f40\r\n" + "a".repeat(8000) + "\r\n", 0),
+
+		/** A chunk with a comment in place of an event follows now and then. */
+		COMMENTS_NOW_AND_THEN("3\r\n:\n\n\r\n", 50),
+
+		/** A chunk with one letter follows now and then. */
+		LETTERS_NOW_AND_THEN("1\r\na\r\n", 50);
+
+		private final String repeated;
+
+		private final long intervalMillis;
+
+		ConnectionAction(String repeated, long intervalMillis) {
+			this.repeated = repeated;
+			this.intervalMillis = intervalMillis;
+		}
+
+		private boolean repeats() {
+			return !this.repeated.isEmpty();
+		}
 
 	}
 
