Follow the store through one watching process, and assume load where none is reported

An unexpected error in one update is logged and the watches go on; a request to a peer fails when its connection closes. Without a report of the last half second other processes are now assumed to have sent an endpoint as much as this one.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
@@ -114,9 +114,11 @@
 	 * Requests the changes in the platform's store that a peer knows.
 	 *
 	 * @param afterRevision the revision that the requester already has
+	 * @param waitMillis the longest time for which the peer may wait for news before it
+	 * replies, in milliseconds
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-	record FactsQuestion(long afterRevision) implements PeerFrame {
+	record FactsQuestion(long afterRevision, long waitMillis) implements PeerFrame {
 
 	}
 
@@ -124,8 +126,8 @@
 	 * Replies to {@link FactsQuestion}.
 	 *
 	 * @param revision the store revision that the sender has
-	 * @param storeAgeMillis the time since the store last responded to the sender, in
-	 * milliseconds
+	 * @param storeAgeMillis the time since the store confirmed the sender's revision,
+	 * directly or through a peer, in milliseconds
 	 * @param whole whether this is a full snapshot rather than the changes
 	 * @param facts the keys or changes, in order of revision
 	 */
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -16,11 +18,15 @@
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.monsoonvalve.core.process.Codec;
@@ -43,6 +49,15 @@
 
 	private final TCPNIOTransport transport;
 
+	private final boolean ownsTransport;
+
+	private final FilterChain chain = FilterChainBuilder.stateless()
+		.add(new TransportFilter())
+		.add(new FrameFilter())
+		.build();
+
+	private final TCPNIOConnectorHandler connector;
+
 	private final ScheduledExecutorService timer;
 
 	private final Function<PeerFrame, CompletableFuture<PeerFrame>> handler;
@@ -57,36 +72,65 @@
 
 	private final LongAdder framesOut = new LongAdder();
 
-	private PeerTransport(ScheduledExecutorService timer, Function<PeerFrame, CompletableFuture<PeerFrame>> handler) {
+	private TCPNIOServerConnection listener;
+
+	private PeerTransport(TCPNIOTransport transport, boolean ownsTransport, ScheduledExecutorService timer,
+			Function<PeerFrame, CompletableFuture<PeerFrame>> handler) {
+		this.transport = transport;
+		this.ownsTransport = ownsTransport;
 		this.timer = timer;
 		this.handler = handler;
-		this.transport = TCPNIOTransportBuilder.newInstance()
-			.setProcessor(FilterChainBuilder.stateless().add(new TransportFilter()).add(new FrameFilter()).build())
+		this.connector = TCPNIOConnectorHandler.builder(transport).processor(this.chain).probe(this.traffic).build();
+	}
+
+	/**
+	 * Starts listening for peers, with threads of its own.
+	 * @param listen the address to listen on
+	 * @param timer the executor that schedules timeouts
+	 * @param handler the function that replies to received frames
+	 * @return the transport
+	 * @throws UncheckedIOException if the transport cannot listen on the address
+	 */
+	public static PeerTransport start(Address listen, ScheduledExecutorService timer,
+			Function<PeerFrame, CompletableFuture<PeerFrame>> handler) {
+		TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
 			.setTcpNoDelay(true)
 			.setReuseAddress(true)
 			.build();
-		this.transport.getConnectionMonitoringConfig().addProbes(this.traffic);
+		try {
+			transport.start();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return new PeerTransport(transport, true, timer, handler).listen(listen);
 	}
 
 	/**
-	 * Starts listening for peers.
+	 * Starts listening for peers on the thread of an event loop.
+	 * @param loop the loop, which keeps running when the transport is closed
 	 * @param listen the address to listen on
 	 * @param timer the executor that schedules timeouts
-	 * @param handler the function that replies to received frames
+	 * @param handler the function that replies to received frames, which must not block
 	 * @return the transport
 	 * @throws UncheckedIOException if the transport cannot listen on the address
 	 */
-	public static PeerTransport start(Address listen, ScheduledExecutorService timer,
+	public static PeerTransport start(EventLoop loop, Address listen, ScheduledExecutorService timer,
 			Function<PeerFrame, CompletableFuture<PeerFrame>> handler) {
-		PeerTransport peers = new PeerTransport(timer, handler);
+		return new PeerTransport(loop.transport(), false, timer, handler).listen(listen);
+	}
+
+	private PeerTransport listen(Address address) {
 		try {
-			peers.transport.bind(listen.toSocketAddress());
-			peers.transport.start();
+			this.listener = TCPNIOBindingHandler.builder(this.transport)
+				.processor(this.chain)
+				.build()
+				.bind(address.toSocketAddress());
+			return this;
 		}
 		catch (IOException ex) {
-			throw new UncheckedIOException("cannot listen on " + listen, ex);
+			throw new UncheckedIOException("cannot listen on " + address, ex);
 		}
-		return peers;
 	}
 
 	/**
@@ -100,14 +144,19 @@
 	public CompletableFuture<PeerFrame> ask(Address address, PeerFrame frame, long timeoutMillis) {
 		long number = this.lastCorrelationNumber.incrementAndGet();
 		CompletableFuture<PeerFrame> reply = new CompletableFuture<>();
-		this.pendingRequests.put(number, new PendingRequest(address, reply));
-		this.timer.schedule(() -> handleTimeout(number), timeoutMillis, TimeUnit.MILLISECONDS);
+		PendingRequest request = new PendingRequest(address, reply);
+		this.pendingRequests.put(number, request);
+		Future<?> timeout = this.timer.schedule(() -> handleTimeout(number), timeoutMillis, TimeUnit.MILLISECONDS);
+		reply.whenComplete((answer, failure) -> timeout.cancel(false));
 		connectionTo(address).whenComplete((connection, failure) -> {
 			if (failure != null) {
 				fail(number, failure.getMessage());
+				return;
 			}
-			else {
-				write(connection, new Envelope(number, false, frame));
+			request.connection = connection;
+			write(connection, new Envelope(number, false, frame));
+			if (!connection.isOpen()) {
+				failRequestsOn(connection);
 			}
 		});
 		return reply;
@@ -131,11 +180,15 @@
 
 	@Override
 	public void close() {
-		try {
-			this.transport.shutdownNow();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
+		this.transport.unbind(this.listener);
+		this.connections.values().forEach((opened) -> opened.thenAccept(Connection::closeSilently));
+		if (this.ownsTransport) {
+			try {
+				this.transport.shutdownNow();
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
 		}
 	}
 
@@ -149,7 +202,7 @@
 
 	private CompletableFuture<Connection<?>> connect(Address address) {
 		CompletableFuture<Connection<?>> opened = new CompletableFuture<>();
-		this.transport.connect(address.toSocketAddress(), new EmptyCompletionHandler<>() {
+		this.connector.connect(address.toSocketAddress(), null, new EmptyCompletionHandler<>() {
 
 			@Override
 			@SuppressWarnings("rawtypes")
@@ -157,6 +210,11 @@
 				opened.complete(connection);
 			}
 
+			@Override
+			public void cancelled() {
+				opened.completeExceptionally(new IOException("cancelled"));
+			}
+
 			@Override
 			public void failed(Throwable cause) {
 				opened.completeExceptionally(cause);
@@ -170,7 +228,7 @@
 		if (request == null) {
 			return;
 		}
-		CompletableFuture<Connection<?>> opened = this.connections.remove(request.address());
+		CompletableFuture<Connection<?>> opened = this.connections.remove(request.address);
 		if (opened != null) {
 			opened.thenAccept(Connection::closeSilently);
 		}
@@ -180,12 +238,20 @@
 	private void fail(long number, String detail) {
 		PendingRequest request = this.pendingRequests.remove(number);
 		if (request != null) {
-			request.answer()
-				.completeExceptionally(new ServingException(FailureCode.UNREACHABLE,
-						"peer " + request.address() + " did not reply: " + detail));
+			request.answer.completeExceptionally(new ServingException(FailureCode.UNREACHABLE,
+					"peer " + request.address + " did not reply: " + detail));
 		}
 	}
 
+	private void failRequestsOn(Connection<?> closed) {
+		this.pendingRequests.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().connection == closed)
+			.map(Map.Entry::getKey)
+			.toList()
+			.forEach((number) -> fail(number, "the connection was closed"));
+	}
+
 	private void write(Connection<?> connection, Envelope envelope) {
 		byte[] content = Codec.MESSAGE_PACK.encode(envelope);
 		Buffer buffer = MemoryManager.DEFAULT_MEMORY_MANAGER.allocate(LENGTH_BYTES + content.length);
@@ -198,7 +264,7 @@
 		if (envelope.reply()) {
 			PendingRequest request = this.pendingRequests.remove(envelope.number());
 			if (request != null) {
-				request.answer().complete(envelope.frame());
+				request.answer.complete(envelope.frame());
 			}
 			return;
 		}
@@ -218,12 +284,33 @@
 
 	}
 
-	private record PendingRequest(Address address, CompletableFuture<PeerFrame> answer) {
+	/**
+	 * A request without a reply, and the connection that it was sent on.
+	 */
+	private static final class PendingRequest {
+
+		private final Address address;
+
+		private final CompletableFuture<PeerFrame> answer;
+
+		private volatile Connection<?> connection;
+
+		private PendingRequest(Address address, CompletableFuture<PeerFrame> answer) {
+			this.address = address;
+			this.answer = answer;
+		}
 
 	}
 
 	private final class FrameFilter extends BaseFilter {
 
+		@Override
+		@SuppressWarnings("unchecked")
+		public NextAction handleAccept(FilterChainContext context) {
+			context.getConnection().getMonitoringConfig().addProbes(PeerTransport.this.traffic);
+			return context.getInvokeAction();
+		}
+
 		@Override
 		public NextAction handleRead(FilterChainContext context) {
 			Buffer buffer = context.getMessage();
@@ -244,6 +331,12 @@
 			return buffer.hasRemaining() ? context.getStopAction(buffer) : context.getStopAction();
 		}
 
+		@Override
+		public NextAction handleClose(FilterChainContext context) {
+			failRequestsOn(context.getConnection());
+			return context.getInvokeAction();
+		}
+
 		@Override
 		public void exceptionOccurred(FilterChainContext context, Throwable error) {
 			context.getConnection().closeSilently();
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/PeerTransportTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/PeerTransportTests.java
@@ -1,10 +1,16 @@
 package org.monsoonvalve.core.connection;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 
 import org.testng.Assert;
 import org.testng.annotations.AfterClass;
@@ -59,4 +65,34 @@
 		Assert.assertEquals(next.join(), new PeerFrame.SlotReply("right"));
 	}
 
+	@Test
+	public void malformedFramesCostTheirConnectionOnly() throws IOException {
+		byte[][] malformed = { { 0, 0, 0, 4, 1, 2, 3, 4 }, { (byte) 0xff, 0, 0, 0, 1 }, { 0, 0, 0, 0 },
+				{ 0, 0, 0, 3, (byte) 0x93, 1, (byte) 0xc2 } };
+		for (byte[] bytes : malformed) {
+			try (Socket socket = new Socket(SECOND.host(), SECOND.port())) {
+				socket.setSoTimeout(2000);
+				socket.getOutputStream().write(bytes);
+				Assert.assertEquals(socket.getInputStream().read(), -1, "the connection is closed");
+			}
+		}
+		this.nextReply = CompletableFuture.completedFuture(new PeerFrame.SlotReply("after"));
+		Assert.assertEquals(this.first.ask(SECOND, new PeerFrame.SlotRelease("3"), 2000).join(),
+				new PeerFrame.SlotReply("after"));
+	}
+
+	// A process that is killed resets its connections; its peers must not wait for the
+	// timeout.
+	@Test
+	public void aRequestFailsAtOnceWhenItsConnectionIsClosed() throws IOException {
+		try (ServerSocket peer = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+			CompletableFuture<PeerFrame> reply = this.first.ask(new Address("127.0.0.1", peer.getLocalPort()),
+					new PeerFrame.SlotRelease("4"), 30_000);
+			Socket accepted = peer.accept();
+			accepted.getInputStream().read();
+			accepted.close();
+			Assert.assertThrows(ExecutionException.class, () -> reply.get(3, TimeUnit.SECONDS));
+		}
+	}
+
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
@@ -210,6 +210,23 @@
 				+ ((nowMillis - this.lastReportMillis < LOAD_REPORT_VALIDITY_MILLIS) ? this.reportedOtherRequests : 0);
 	}
 
+	/**
+	 * Estimates the number of requests at the endpoint, from all processes, for the
+	 * limits on requests per endpoint. Without a valid report other processes are assumed
+	 * to have sent as many requests as this one: when an endpoint comes into service
+	 * while the others are full, all processes turn to it before its first report. The
+	 * assumption alone doesn't exclude an endpoint before this process's second request.
+	 * @param processes the number of processes that send requests
+	 * @param nowMillis the current time of the event loop, in milliseconds
+	 * @return the estimated number of requests
+	 */
+	public int assumedLoad(int processes, long nowMillis) {
+		if (nowMillis - this.lastReportMillis < LOAD_REPORT_VALIDITY_MILLIS) {
+			return load(nowMillis);
+		}
+		return this.ownRequests * Math.max(1, Math.min(processes, this.record.slots()));
+	}
+
 	/**
 	 * Returns the number of other processes' requests according to the last report.
 	 * @param nowMillis the current time of the event loop, in milliseconds
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetViewBuilder.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetViewBuilder.java
@@ -137,7 +137,7 @@
 
 	private Optional<Object> decodeByKey(PlatformStore.Entry entry) {
 		if (StoreKeys.MEMBERS.nameOf(entry.key()).isPresent()) {
-			return Optional.of(Codec.JSON.decode(entry.value(), Member.class));
+			return Optional.of(Codec.JSON.decode(entry.value(), Member.class).registeredAt(entry.revision()));
 		}
 		if (StoreKeys.GROUPS.nameOf(entry.key()).isPresent()) {
 			return Optional.of(Codec.JSON.decode(entry.value(), ZoneGroups.class));
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -2,8 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
@@ -135,12 +135,13 @@
 			LeaseElection election = LeaseElection.of(store, clock, "planner-" + zone,
 					NodeId.of(settings.name() + "@" + settings.peers()), (failure) -> log.record(LogEvent.TASK_FAILED,
 							"task", "election for " + zone, "reason", failure.getMessage()));
-			return new ManagedZone(zone, election,
+			return new ManagedZone(zone, election, new RoleCandidacy("planner-" + zone, settings.name()),
 					new ZonePlanner(zone, settings, store, engines, election, this.control, log));
 		}).toList();
-		this.storeSync = new StoreSync(store, platform.decoder(), settings, this.control, log, this::updateView);
+		this.storeSync = new StoreSync(store, platform.decoder(), settings, this.loop, this.control, log,
+				this::updateView);
 		this.registration = new ProcessRegistration(store,
-				new Member(settings.name(), settings.zone(), settings.peers()), this.control, log);
+				Member.of(settings.name(), settings.zone(), settings.peers()), this.control, log);
 		HttpServer.start(this.loop, settings.readiness(), HttpLimits.defaults(), this::readiness);
 		HttpServer.start(this.loop, settings.metrics(), HttpLimits.defaults(), this::metrics);
 		this.callers = HttpServer.start(this.loop, settings.callers(), HTTP_LIMITS, this.dispatcher::accept);
@@ -214,11 +215,17 @@
 		}
 		this.zones.forEach((zone) -> {
 			boolean ownZone = zone.name().equals(this.settings.get().zone());
-			boolean withoutMember = !known.members().isEmpty()
-					&& known.members().values().stream().noneMatch((member) -> member.zone().equals(zone.name()));
+			List<Member> zoneMembers = known.members()
+				.values()
+				.stream()
+				.filter((member) -> member.zone().equals(zone.name()))
+				.toList();
+			boolean eligible = ownZone || (zoneMembers.isEmpty() && !known.members().isEmpty());
 			String holder = known.roleHolders().get("planner-" + zone.name());
-			boolean vacant = holder == null || zone.election().isPredecessor(holder);
-			zone.election().tick((ownZone || withoutMember) && vacant);
+			boolean predecessor = holder != null && zone.election().isPredecessor(holder);
+			boolean first = zone.candidacy()
+				.mayAcquire(holder == null, ownZone ? zoneMembers : known.members().values(), EventLoop.nowMillis());
+			zone.election().tick(eligible && (first || predecessor));
 		});
 	}
 
@@ -281,14 +288,17 @@
 	}
 
 	private static ScheduledExecutorService daemonScheduler(String name) {
-		return Executors.newSingleThreadScheduledExecutor((task) -> {
+		ScheduledThreadPoolExecutor scheduler = new ScheduledThreadPoolExecutor(1, (task) -> {
 			Thread thread = new Thread(task, name);
 			thread.setDaemon(true);
 			return thread;
 		});
+		// Timeouts of answered calls must not wake the thread.
+		scheduler.setRemoveOnCancelPolicy(true);
+		return scheduler;
 	}
 
-	private record ManagedZone(String name, LeaseElection election, ZonePlanner planner) {
+	private record ManagedZone(String name, LeaseElection election, RoleCandidacy candidacy, ZonePlanner planner) {
 
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
@@ -61,6 +61,14 @@
 		return taken;
 	}
 
+	/**
+	 * Tells whether any key was added, changed or removed since {@link #takeChangedKeys}.
+	 * @return {@code true} if the next call returns a key
+	 */
+	boolean changedSinceTaken() {
+		return !this.changedKeys.isEmpty();
+	}
+
 	private boolean hasRevision(String key, long expected) {
 		return entry(key).filter((current) -> current.revision() == expected).isPresent();
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
@@ -1,12 +1,14 @@
 package org.monsoonvalve.gateway.process;
 
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.monsoonvalve.core.connection.Address;
@@ -21,11 +23,12 @@
 import org.monsoonvalve.gateway.version.Member;
 
 /**
- * Keeps the replica of the platform's store up to date. One process of each availability
- * zone, the reader, watches the store, and the others poll the reader; without an
- * up-to-date reader a process watches the store itself. Every process also requests
- * changes from random peers, so that a process whose calls the store refuses or doesn't
- * answer still receives what its peers have. Confined to the control thread.
+ * Keeps the replica of the platform's store up to date. One process of the system watches
+ * the store, and the others follow it through a reader in each availability zone; a
+ * process whose reader is not up to date watches the store itself. A process that has
+ * neither requests changes from random peers, so that it still receives what its peers
+ * have when the store refuses its calls or doesn't answer them. Confined to the control
+ * thread.
  *
  * @author monsoonvalve maintainers
  */
@@ -38,8 +41,14 @@
 	private static final long WATCH_TIMEOUT_MILLIS = 700;
 
 	/**
-	 * Age of the store's last answer to the reader at which the reader is no longer up to
-	 * date.
+	 * Longest wait of the watch that confirms a snapshot, which may be out of date; the
+	 * store answers at once if it is.
+	 */
+	private static final long CONFIRM_TIMEOUT_MILLIS = 20;
+
+	/**
+	 * Time since the store confirmed a revision after which the replica is no longer up
+	 * to date.
 	 */
 	private static final long MAX_STORE_AGE_MILLIS = 1100;
 
@@ -47,20 +56,32 @@
 	 * Time without an up-to-date answer from the reader after which a process watches the
 	 * store itself.
 	 */
-	private static final long READER_TIMEOUT_MILLIS = 600;
+	private static final long READER_TIMEOUT_MILLIS = 1000;
+
+	/** Longest time that a reader waits for a change before it answers a follower. */
+	private static final long READER_WAIT_MILLIS = 600;
 
-	/** Interval between requests to the reader of this process's zone. */
-	private static final long READER_POLL_MILLIS = 150;
+	/** Interval between checks for a reader that is up to date. */
+	private static final long READER_CHECK_MILLIS = 150;
 
 	/** Delay after a watch, so that changes in quick succession cost one call. */
 	private static final long COALESCE_MILLIS = 120;
 
+	/**
+	 * Delay after a watch in a large fleet, where endpoints change all the time and each
+	 * answer is passed on to many processes.
+	 */
+	private static final long LARGE_FLEET_COALESCE_MILLIS = 250;
+
+	/** Processes from which on a fleet is large. */
+	private static final int LARGE_FLEET_PROCESSES = 32;
+
 	/** Delay after a failed call to the store. */
 	private static final long RETRY_MILLIS = 400;
 
 	/**
-	 * Interval between requests to a random peer; a quarter of the bound on the
-	 * propagation of a configuration.
+	 * Interval between requests to random peers while the replica is not up to date; a
+	 * quarter of the bound on the propagation of a configuration.
 	 */
 	private static final long PEER_SYNC_MILLIS = 500;
 
@@ -83,113 +104,152 @@
 
 	private final PeerTransport peers;
 
+	private final FactsUpstream upstream;
+
+	private final List<WaitingFollower> waitingFollowers = new ArrayList<>();
+
 	private FleetView view = FleetView.empty();
 
 	private boolean storeAvailable = true;
 
-	private long lastStoreAnswerMillis = EventLoop.nowMillis();
+	private long confirmedMillis = EventLoop.nowMillis() - MAX_STORE_AGE_MILLIS;
 
 	private long lastReaderAnswerMillis = EventLoop.nowMillis();
 
 	private boolean readerRequestPending;
 
-	StoreSync(WatchableStore store, EntryDecoder decoder, GatewaySettings settings, ScheduledExecutorService control,
-			DecisionLog log, Consumer<FleetView> onChange) {
+	StoreSync(WatchableStore store, EntryDecoder decoder, GatewaySettings settings, EventLoop loop,
+			ScheduledExecutorService control, DecisionLog log, Consumer<FleetView> onChange) {
 		this.store = store;
 		this.settings = settings;
 		this.control = control;
 		this.log = log;
 		this.onChange = onChange;
 		this.viewBuilder = new FleetViewBuilder(decoder, log);
-		this.peers = PeerTransport.start(settings.peers(), control, this::handleFrame);
+		this.upstream = new FactsUpstream(settings.name(), settings.zone());
+		this.peers = PeerTransport.start(loop, settings.peers(), control, this::handleFrame);
 	}
 
 	void start() {
-		this.control.execute(this::loadSnapshot);
-		this.control.scheduleWithFixedDelay(this::syncWithRandomPeer, PEER_SYNC_MILLIS, PEER_SYNC_MILLIS,
-				TimeUnit.MILLISECONDS);
-		this.control.scheduleWithFixedDelay(this::pollReader, READER_POLL_MILLIS, READER_POLL_MILLIS,
-				TimeUnit.MILLISECONDS);
+		this.control.execute(() -> loadSnapshot(this.store.staleSnapshot()));
+		this.control.scheduleWithFixedDelay(() -> runAndLogFailure("ask a peer", this::syncWithRandomPeer),
+				PEER_SYNC_MILLIS, PEER_SYNC_MILLIS, TimeUnit.MILLISECONDS);
+		this.control.scheduleWithFixedDelay(() -> runAndLogFailure("follow the reader", this::followReader),
+				READER_CHECK_MILLIS, READER_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void runAndLogFailure(String task, Runnable action) {
+		try {
+			action.run();
+		}
+		catch (RuntimeException ex) {
+			logFailure(task, ex);
+		}
+	}
+
+	private void logFailure(String task, Throwable failure) {
+		this.log.record(LogEvent.TASK_FAILED, "task", task, "reason", ServingException.from(failure).getMessage());
+	}
+
+	// An unexpected error must not end the sequence of watches.
+	private <T> void handle(CompletableFuture<T> answer, BiConsumer<T, Throwable> handler) {
+		answer.handleAsync((value, failure) -> {
+			handler.accept(value, failure);
+			return null;
+		}, this.control).exceptionally((unexpected) -> {
+			logFailure("follow the store", unexpected);
+			schedule(this::watchStore, RETRY_MILLIS);
+			return null;
+		});
 	}
 
 	void close() {
 		this.peers.close();
 	}
 
-	private void loadSnapshot() {
-		this.store.read("", 0).whenCompleteAsync((snapshot, failure) -> {
+	// The view of a snapshot is published once a watch has shown what it lacks.
+	private void loadSnapshot(CompletableFuture<PlatformStore.Snapshot> reading) {
+		handle(reading, (snapshot, failure) -> {
 			if (failure != null) {
 				storeFailed(failure);
-				schedule(this::loadSnapshot, RETRY_MILLIS);
+				schedule(() -> loadSnapshot(this.store.read("", 0)), RETRY_MILLIS);
 				return;
 			}
-			storeAnswered();
 			if (this.replica.reset(snapshot)) {
 				this.log.record(LogEvent.FACTS_READ, "revision", snapshot.revision(), "keys",
 						snapshot.entries().size());
-				publishView();
 			}
-			watchStore();
-		}, this.control);
+			watchStore(CONFIRM_TIMEOUT_MILLIS);
+		});
 	}
 
 	private void watchStore() {
 		if (readerUpToDate()) {
-			schedule(this::watchStore, READER_POLL_MILLIS);
-			return;
+			schedule(this::watchStore, READER_CHECK_MILLIS);
 		}
-		this.store.changes(this.replica.revision(), WATCH_TIMEOUT_MILLIS).whenCompleteAsync((changes, failure) -> {
+		else {
+			watchStore(WATCH_TIMEOUT_MILLIS);
+		}
+	}
+
+	private void watchStore(long waitMillis) {
+		handle(this.store.changes(this.replica.revision(), waitMillis), (changes, failure) -> {
 			if (failure == null) {
 				storeAnswered();
-				if (this.replica.apply(changes)) {
-					publishView();
-				}
-				schedule(this::watchStore, COALESCE_MILLIS);
+				apply(changes);
+				answerFollowers();
+				schedule(this::watchStore, coalesceMillis());
 			}
 			else if (ServingException.from(failure).code() == FailureCode.CONFLICT) {
-				loadSnapshot();
+				loadSnapshot(this.store.read("", 0));
 			}
 			else {
 				storeFailed(failure);
 				schedule(this::watchStore, RETRY_MILLIS);
 			}
-		}, this.control);
+		});
+	}
+
+	private long coalesceMillis() {
+		return (this.view.members().size() < LARGE_FLEET_PROCESSES) ? COALESCE_MILLIS : LARGE_FLEET_COALESCE_MILLIS;
 	}
 
 	private void schedule(Runnable task, long millis) {
 		this.control.schedule(task, millis, TimeUnit.MILLISECONDS);
 	}
 
-	// Returns the process of this zone with the lowest name, empty if that is this
-	// process.
-	private Optional<Member> zoneReader() {
-		return this.view.members()
-			.values()
-			.stream()
-			.filter((member) -> member.zone().equals(this.settings.zone()))
-			.min(Comparator.comparing(Member::name))
-			.filter((member) -> !member.name().equals(this.settings.name()));
+	private Optional<Member> reader() {
+		return this.upstream.select(this.view.members().values(), EventLoop.nowMillis());
 	}
 
 	private boolean readerUpToDate() {
-		return zoneReader().isPresent() && EventLoop.nowMillis() - this.lastReaderAnswerMillis < READER_TIMEOUT_MILLIS;
+		return reader().isPresent() && EventLoop.nowMillis() - this.lastReaderAnswerMillis < READER_TIMEOUT_MILLIS;
 	}
 
-	private void pollReader() {
-		Optional<Member> reader = zoneReader();
-		if (reader.isPresent() && !this.readerRequestPending) {
-			this.readerRequestPending = true;
-			requestFacts(reader.get().peerAddress()).whenCompleteAsync((facts, failure) -> {
-				this.readerRequestPending = false;
-				if (facts != null && facts.storeAgeMillis() < MAX_STORE_AGE_MILLIS) {
-					this.lastReaderAnswerMillis = EventLoop.nowMillis();
-				}
-			}, this.control);
+	private void followReader() {
+		Optional<Member> reader = reader();
+		if (reader.isEmpty() || this.readerRequestPending) {
+			return;
 		}
+		this.readerRequestPending = true;
+		Address address = reader.get().peerAddress();
+		requestFacts(address, READER_WAIT_MILLIS).whenCompleteAsync((facts, failure) -> {
+			this.readerRequestPending = false;
+			if (failure != null) {
+				logFailure("follow the reader", failure);
+			}
+			if (facts == null) {
+				this.upstream.failed(address, EventLoop.nowMillis());
+			}
+			else if (facts.storeAgeMillis() < MAX_STORE_AGE_MILLIS) {
+				this.lastReaderAnswerMillis = EventLoop.nowMillis();
+				followReader();
+			}
+		}, this.control);
 	}
 
 	private void storeAnswered() {
-		this.lastStoreAnswerMillis = EventLoop.nowMillis();
+		this.confirmedMillis = EventLoop.nowMillis();
 		if (!this.storeAvailable) {
 			this.storeAvailable = true;
 			this.log.record(LogEvent.PLATFORM_BACK, "revision", this.replica.revision());
@@ -204,12 +264,25 @@
 		}
 	}
 
+	private void apply(WatchableStore.Changes changes) {
+		if (this.replica.apply(changes) || this.replica.changedSinceTaken()) {
+			publishView();
+		}
+	}
+
 	private void publishView() {
 		this.view = this.viewBuilder.build(this.replica);
 		this.onChange.accept(this.view);
 	}
 
+	private long storeAgeMillis() {
+		return EventLoop.nowMillis() - this.confirmedMillis;
+	}
+
 	private void syncWithRandomPeer() {
+		if (storeAgeMillis() < MAX_STORE_AGE_MILLIS) {
+			return;
+		}
 		List<Address> others = this.view.members()
 			.values()
 			.stream()
@@ -217,26 +290,29 @@
 			.map(Member::peerAddress)
 			.toList();
 		if (!others.isEmpty()) {
-			requestFacts(others.get(ThreadLocalRandom.current().nextInt(others.size())));
+			requestFacts(others.get(ThreadLocalRandom.current().nextInt(others.size())), 0);
 		}
 	}
 
-	private CompletableFuture<PeerFrame.Facts> requestFacts(Address peer) {
-		return this.peers.ask(peer, new PeerFrame.FactsQuestion(this.replica.revision()), PEER_TIMEOUT_MILLIS)
-			.handleAsync((answer, failure) -> {
-				if (answer instanceof PeerFrame.Facts facts) {
-					applyFacts(peer, facts);
-					return facts;
-				}
-				if (failure != null) {
-					this.log.record(LogEvent.PEER_FAILED, "peer", peer, "reason",
-							ServingException.from(failure).getMessage());
-				}
-				return null;
-			}, this.control);
+	private CompletableFuture<PeerFrame.Facts> requestFacts(Address peer, long waitMillis) {
+		PeerFrame question = new PeerFrame.FactsQuestion(this.replica.revision(), waitMillis);
+		return this.peers.ask(peer, question, waitMillis + PEER_TIMEOUT_MILLIS).handleAsync((answer, failure) -> {
+			if (answer instanceof PeerFrame.Facts facts) {
+				applyFacts(peer, facts);
+				return facts;
+			}
+			if (failure != null) {
+				this.log.record(LogEvent.PEER_FAILED, "peer", peer, "reason",
+						ServingException.from(failure).getMessage());
+			}
+			return null;
+		}, this.control);
 	}
 
 	private void applyFacts(Address peer, PeerFrame.Facts facts) {
+		if (facts.revision() >= this.replica.revision()) {
+			this.confirmedMillis = Math.max(this.confirmedMillis, EventLoop.nowMillis() - facts.storeAgeMillis());
+		}
 		if (facts.revision() <= this.replica.revision()) {
 			return;
 		}
@@ -257,21 +333,46 @@
 			}
 			publishView();
 		}
+		answerFollowers();
 	}
 
 	private CompletableFuture<PeerFrame> handleFrame(PeerFrame frame) {
-		return CompletableFuture.supplyAsync(() -> {
+		CompletableFuture<PeerFrame> reply = new CompletableFuture<>();
+		this.control.execute(() -> {
 			if (frame instanceof PeerFrame.FactsQuestion question) {
-				return factsAfter(question.afterRevision());
+				answerOrHold(question, reply);
 			}
-			return new PeerFrame.Ack();
-		}, this.control);
+			else {
+				reply.complete(new PeerFrame.Ack());
+			}
+		});
+		return reply;
+	}
+
+	private void answerOrHold(PeerFrame.FactsQuestion question, CompletableFuture<PeerFrame> reply) {
+		if (question.waitMillis() <= 0 || question.afterRevision() < this.replica.revision()) {
+			reply.complete(factsAfter(question.afterRevision()));
+			return;
+		}
+		WaitingFollower follower = new WaitingFollower(question.afterRevision(), reply);
+		this.waitingFollowers.add(follower);
+		Future<?> end = this.control.schedule(() -> {
+			this.waitingFollowers.remove(follower);
+			reply.complete(factsAfter(question.afterRevision()));
+		}, Math.min(question.waitMillis(), READER_WAIT_MILLIS), TimeUnit.MILLISECONDS);
+		reply.whenComplete((facts, failure) -> end.cancel(false));
+	}
+
+	private void answerFollowers() {
+		List<WaitingFollower> waiting = List.copyOf(this.waitingFollowers);
+		this.waitingFollowers.clear();
+		waiting.forEach((follower) -> follower.reply().complete(factsAfter(follower.afterRevision())));
 	}
 
 	// Replies with the changes after a revision, or with all entries if the history no
 	// longer includes those changes.
 	private PeerFrame factsAfter(long revision) {
-		long storeAge = EventLoop.nowMillis() - this.lastStoreAnswerMillis;
+		long storeAge = storeAgeMillis();
 		return this.replica.changesAfter(revision)
 			.map((changes) -> new PeerFrame.Facts(changes.revision(), storeAge, false,
 					changes.changes()
@@ -285,4 +386,14 @@
 						.toList()));
 	}
 
+	/**
+	 * A follower's request that waits for a change.
+	 *
+	 * @param afterRevision the revision that the follower has
+	 * @param reply receives the facts
+	 */
+	private record WaitingFollower(long afterRevision, CompletableFuture<PeerFrame> reply) {
+
+	}
+
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/WatchableStore.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/WatchableStore.java
@@ -23,6 +23,13 @@
 	 */
 	CompletableFuture<Changes> changes(long afterRevision, long waitMillis);
 
+	/**
+	 * Reads all keys, perhaps as they were some seconds ago, which costs the store less
+	 * than a current read.
+	 * @return the keys at a revision, to be followed by {@link #changes} after it
+	 */
+	CompletableFuture<Snapshot> staleSnapshot();
+
 	/**
 	 * Changes of the store in the order of their revisions.
 	 *
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
@@ -193,7 +193,7 @@
 		int slots = Math.max(1, endpoint.record().slots());
 		boolean engine = endpoint.record().membership().isPresent();
 		int maxRequests = engine ? slots + MAX_QUEUED_AT_ENGINE : slots * MAX_PLAIN_REQUESTS_PER_SLOT;
-		return endpoint.load(now) < maxRequests;
+		return endpoint.assumedLoad(this.processCount.getAsInt(), now) < maxRequests;
 	}
 
 	/**
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.EventLoop;
@@ -13,8 +14,14 @@
 
 	private static final int SLOTS = 12;
 
+	private static final long NOW = EventLoop.nowMillis();
+
 	private static Endpoint endpoint() {
-		return new Endpoint(new EndpointRecord("vm-1", "s", new Address("127.0.0.1", 1), "near", SLOTS, false, 0, 1, "",
+		return endpoint(SLOTS);
+	}
+
+	private static Endpoint endpoint(int slots) {
+		return new Endpoint(new EndpointRecord("vm-1", "s", new Address("127.0.0.1", 1), "near", slots, false, 0, 1, "",
 				List.of(), List.of(), Optional.empty(), 1), null, () -> {
 				});
 	}
@@ -35,4 +42,41 @@
 		Assert.assertEquals(endpoint().expectedLoad(3, EventLoop.nowMillis()), 3.0, 0.01);
 	}
 
+	// Pattern: all groups are full, and a group comes into service. Every process learns
+	// of
+	// it within milliseconds, long before the endpoint's first response reports its load.
+	@Test
+	public void processesThatAllTurnToANewEndpointDoNotFillItManyTimesOver() {
+		int processes = 9;
+		int slots = 18;
+		int waitingAtEachProcess = 30;
+		int sent = 0;
+		for (int process = 0; process < processes; process++) {
+			Endpoint seen = endpoint(slots);
+			for (int i = 0; i < waitingAtEachProcess && seen.assumedLoad(processes, NOW) < slots; i++) {
+				seen.requestStarted();
+				sent++;
+			}
+		}
+		Assert.assertTrue(sent >= slots, "the slots are used, sent " + sent);
+		Assert.assertTrue(sent <= 2 * slots, "sent " + sent);
+	}
+
+	@Test
+	public void aReportReplacesTheAssumption() {
+		Endpoint endpoint = endpoint(18);
+		IntStream.range(0, 4).forEach((i) -> endpoint.requestStarted());
+		Assert.assertEquals(endpoint.assumedLoad(9, EventLoop.nowMillis()), 36);
+		endpoint.loadReported(6);
+		Assert.assertEquals(endpoint.assumedLoad(9, EventLoop.nowMillis()), 6);
+	}
+
+	@Test
+	public void theFirstRequestToAnEndpointIsNeverExcludedInALargeFleet() {
+		Endpoint endpoint = endpoint(10);
+		Assert.assertEquals(endpoint.assumedLoad(390, NOW), 0);
+		endpoint.requestStarted();
+		Assert.assertEquals(endpoint.assumedLoad(390, NOW), 10);
+	}
+
 }
--- /dev/null
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
@@ -0,0 +1,193 @@
+package org.monsoonvalve.gateway.process;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.BooleanSupplier;
+
+import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.EventLoop;
+import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.process.Codec;
+import org.monsoonvalve.gateway.version.EndpointRecord;
+import org.monsoonvalve.gateway.version.FleetView;
+import org.monsoonvalve.gateway.version.Member;
+import org.monsoonvalve.gateway.version.ServingConfiguration;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class StoreSyncTests {
+
+	/** Half of the shortest bound within which a change must be in force everywhere. */
+	private static final long PROPAGATION_MILLIS = 1000;
+
+	/**
+	 * Within this time a process notices that the process it follows is lost, and takes a
+	 * change from elsewhere: the shortest bound on a change.
+	 */
+	private static final long RECOVERY_MILLIS = 2000;
+
+	private static final long START_TIMEOUT_MILLIS = 10_000;
+
+	private final List<Process> processes = new ArrayList<>();
+
+	private InMemoryStore store;
+
+	@BeforeMethod
+	public void start() throws IOException {
+		this.store = new InMemoryStore();
+		for (String zone : List.of("a", "a", "b", "b")) {
+			this.processes.add(new Process("gateway-" + this.processes.size(), zone, this.store));
+		}
+		this.processes.forEach(
+				(process) -> await(START_TIMEOUT_MILLIS, () -> process.view.members().size() == this.processes.size()));
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() {
+		this.processes.forEach(Process::stop);
+		this.processes.clear();
+	}
+
+	private static void await(long timeoutMillis, BooleanSupplier condition) {
+		long endMillis = EventLoop.nowMillis() + timeoutMillis;
+		while (!condition.getAsBoolean()) {
+			Assert.assertTrue(EventLoop.nowMillis() < endMillis, "condition not met within " + timeoutMillis + " ms");
+			Thread.onSpinWait();
+		}
+	}
+
+	private void awaitEverywhere(List<Process> expected, long revision, long timeoutMillis) {
+		expected.forEach((process) -> await(timeoutMillis, () -> process.view.revision() >= revision));
+	}
+
+	private int watchCalls(int process) {
+		return this.processes.get(process).store.watchCalls;
+	}
+
+	@Test
+	public void oneProcessWatchesTheStoreAndAllHaveEachChange() throws InterruptedException {
+		Thread.sleep(PROPAGATION_MILLIS);
+		int firstBefore = watchCalls(0);
+		int othersBefore = watchCalls(1) + watchCalls(2) + watchCalls(3);
+		for (int i = 0; i < 20; i++) {
+			awaitEverywhere(this.processes, this.store.put("servers/vm-" + i, new byte[] { 1 }), PROPAGATION_MILLIS);
+		}
+		Assert.assertTrue(watchCalls(0) > firstBefore, "the process that registered first watches");
+		Assert.assertEquals(watchCalls(1) + watchCalls(2) + watchCalls(3), othersBefore);
+	}
+
+	@Test
+	public void theOthersHaveAChangeInTimeAfterTheWatchingProcessIsLost() {
+		this.processes.get(0).stop();
+		long revision = this.store.put("servers/vm-1", new byte[] { 1 });
+		awaitEverywhere(this.processes.subList(1, 4), revision, RECOVERY_MILLIS);
+	}
+
+	// The store answers all processes but the one that the others follow.
+	@Test
+	public void theOthersHaveAChangeInTimeWhenTheStoreRefusesTheWatchingProcess() {
+		this.processes.get(0).store.refused = true;
+		long revision = this.store.put("servers/vm-1", new byte[] { 1 });
+		awaitEverywhere(this.processes, revision, RECOVERY_MILLIS);
+		Assert.assertTrue(this.processes.get(0).view.revision() >= revision, "it has the change from a peer");
+	}
+
+	@Test
+	public void aRefusedFollowerStillHasEachChange() {
+		this.processes.get(3).store.refused = true;
+		awaitEverywhere(this.processes, this.store.put("servers/vm-1", new byte[] { 1 }), PROPAGATION_MILLIS);
+	}
+
+	@Test
+	public void anUnexpectedErrorInOneUpdateDoesNotEndTheFollowing() {
+		this.processes.forEach((process) -> process.failNextUpdate = true);
+		this.store.put("servers/vm-1", new byte[] { 1 });
+		await(PROPAGATION_MILLIS, () -> this.processes.stream().noneMatch((process) -> process.failNextUpdate));
+		awaitEverywhere(this.processes, this.store.put("servers/vm-2", new byte[] { 1 }), RECOVERY_MILLIS);
+		int watchesBefore = watchCalls(0);
+		await(RECOVERY_MILLIS, () -> watchCalls(0) > watchesBefore + 1);
+	}
+
+	/**
+	 * The part of a process that keeps the replica.
+	 */
+	private static final class Process {
+
+		private final ScheduledExecutorService control = Executors.newSingleThreadScheduledExecutor();
+
+		private final EventLoop loop = EventLoop.start((failure) -> {
+			throw new IllegalStateException(failure);
+		});
+
+		private final InMemoryStore.Client store;
+
+		private final StoreSync sync;
+
+		private volatile FleetView view = FleetView.empty();
+
+		private volatile boolean failNextUpdate;
+
+		private Process(String name, String zone, InMemoryStore content) throws IOException {
+			Address address = freeAddress();
+			content.put("monsoonvalve/members/" + name, Codec.JSON.encode(Member.of(name, zone, address)));
+			this.store = content.client();
+			GatewaySettings settings = new GatewaySettings(name, zone, List.of("a", "b"), address, address, address,
+					address, address, new GatewaySettings.Bounds(8000, 0.2, 10_000, 100, 1.5, 5, 5000));
+			DecisionLog log = DecisionLog.start(Clock.systemUTC(), name, (line) -> {
+			});
+			this.sync = new StoreSync(this.store, new EndpointDecoder(), settings, this.loop, this.control, log,
+					this::update);
+			this.sync.start();
+		}
+
+		private void update(FleetView newer) {
+			if (this.failNextUpdate) {
+				this.failNextUpdate = false;
+				throw new IllegalStateException("unexpected");
+			}
+			this.view = newer;
+		}
+
+		private static Address freeAddress() throws IOException {
+			try (ServerSocket free = new ServerSocket(0)) {
+				return new Address("127.0.0.1", free.getLocalPort());
+			}
+		}
+
+		private void stop() {
+			this.control.shutdownNow();
+			this.sync.close();
+			this.loop.close();
+		}
+
+	}
+
+	private static final class EndpointDecoder implements EntryDecoder {
+
+		@Override
+		public Optional<ServingConfiguration> configuration(PlatformStore.Entry entry) {
+			return Optional.empty();
+		}
+
+		@Override
+		public Optional<String> evacuatedZone(PlatformStore.Entry entry) {
+			return Optional.empty();
+		}
+
+		@Override
+		public Optional<EndpointRecord> endpoint(PlatformStore.Entry entry) {
+			return Optional.of(new EndpointRecord(entry.key(), "s", new Address("127.0.0.1", 1), "a", 6, false, 0, 1,
+					"", List.of(), List.of(), Optional.empty(), entry.revision()));
+		}
+
+	}
+
+}
