--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
@@ -56,6 +56,9 @@
 	/** One second including both of its ends, as rate limits apply to any second. */
 	private static final long RATE_WINDOW_MILLIS = 1001;
 
+	/** The time of a report that was not received yet; far from overflowing an age. */
+	private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
 	private final HttpClient client;
 
 	private final Runnable onConnectionOpened;
@@ -70,7 +73,7 @@
 
 	private int reportedOtherRequests;
 
-	private long lastReportMillis = Long.MIN_VALUE / 2;
+	private long lastReportMillis = NEVER_MILLIS;
 
 	private long suspectUntilMillis;
 
@@ -212,16 +215,16 @@
 
 	/**
 	 * Estimates the number of requests at the endpoint, from all processes, for the
-	 * limits on requests per endpoint. Without a valid report other processes are assumed
-	 * to have sent as many requests as this one: when an endpoint comes into service
-	 * while the others are full, all processes turn to it before its first report. The
-	 * assumption alone doesn't exclude an endpoint before this process's second request.
+	 * limits on requests per endpoint. Before the first report other processes are
+	 * assumed to have sent as many requests as this one: when an endpoint comes into
+	 * service while the others are full, all processes turn to it at once. The assumption
+	 * alone doesn't exclude an endpoint before this process's second request.
 	 * @param processes the number of processes that send requests
 	 * @param nowMillis the current time of the event loop, in milliseconds
 	 * @return the estimated number of requests
 	 */
 	public int assumedLoad(int processes, long nowMillis) {
-		if (nowMillis - this.lastReportMillis < LOAD_REPORT_VALIDITY_MILLIS) {
+		if (this.lastReportMillis != NEVER_MILLIS) {
 			return load(nowMillis);
 		}
 		return this.ownRequests * Math.max(1, Math.min(processes, this.record.slots()));
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointTests.java
@@ -69,6 +69,7 @@
 		Assert.assertEquals(endpoint.assumedLoad(9, EventLoop.nowMillis()), 36);
 		endpoint.loadReported(6);
 		Assert.assertEquals(endpoint.assumedLoad(9, EventLoop.nowMillis()), 6);
+		Assert.assertEquals(endpoint.assumedLoad(9, EventLoop.nowMillis() + 10_000), 4, "an old report is no load");
 	}
 
 	@Test
