--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
@@ -2,8 +2,8 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
@@ -64,10 +64,10 @@
 	/** Stall timeout of idempotent requests at a plain endpoint. */
 	private static final long PLAIN_STALL_MILLIS = 900;
 
-	/** Time that a caller without a stated deadline is assumed to have. */
-	private static final long DEFAULT_REMAINING_MILLIS = 3000;
+	/** Range of the {@code Retry-After} value of refused requests, in seconds. */
+	private static final double MIN_RETRY_AFTER_SECONDS = 0.3;
 
-	private final RetryAfter retryAfter = new RetryAfter(() -> ThreadLocalRandom.current().nextDouble());
+	private static final double MAX_RETRY_AFTER_SECONDS = 0.9;
 
 	private final EventLoop loop;
 
@@ -131,7 +131,7 @@
 			this.log.record(LogEvent.REQUEST_REFUSED, "request", requestId, "code", ex.code().code(), "reason",
 					ex.getMessage(), "view", this.endpoints.view().revision());
 			this.metrics.refused(ex.code());
-			refuse(call, requestId, ex, requestedMillis(call).orElse(DEFAULT_REMAINING_MILLIS));
+			refuse(call, requestId, ex);
 			return;
 		}
 		Exchange exchange = new Exchange(this, call, match);
@@ -159,18 +159,11 @@
 		this.exchanges.remove(exchange);
 	}
 
-	// Returns the time that the caller waits for a response, from its header.
-	Optional<Long> requestedMillis(IncomingCall call) {
-		return call.headers()
-			.get(this.names.deadlineMillis())
-			.filter((text) -> text.matches("[0-9]{1,9}"))
-			.map(Long::valueOf);
-	}
-
-	void refuse(IncomingCall call, String requestId, ServingException failure, long remainingMillis) {
+	void refuse(IncomingCall call, String requestId, ServingException failure) {
 		Headers headers = Headers.of("Content-Type", Problem.MEDIA_TYPE).with(this.names.requestId(), requestId);
 		if (failure.code().retryable()) {
-			headers = headers.with("Retry-After", this.retryAfter.value(remainingMillis));
+			double seconds = ThreadLocalRandom.current().nextDouble(MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS);
+			headers = headers.with("Retry-After", String.format(Locale.ROOT, "%.2f", seconds));
 		}
 		call.reply(failure.code().status(), headers, Problem.of(failure).encode());
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -42,9 +42,6 @@
 
 	private final long startMillis = EventLoop.nowMillis();
 
-	// The time that the caller waits; the route's timeout can be shorter.
-	private final long requestedMillis;
-
 	private final long deadlineMillis;
 
 	private final Set<Endpoint> triedEndpoints = new HashSet<>();
@@ -72,8 +69,12 @@
 		this.requestId = call.headers().get(names.requestId()).orElse("");
 		this.response = CallerResponse.of(call, call.headers().get(names.lastEventId()));
 		this.model = match.service().engine().isPresent() ? call.headers().get(names.model()) : Optional.empty();
-		this.requestedMillis = dispatcher.requestedMillis(call).orElse(this.route.timeoutMillis());
-		this.deadlineMillis = this.startMillis + Math.min(this.requestedMillis, this.route.timeoutMillis());
+		long requestedMillis = call.headers()
+			.get(names.deadlineMillis())
+			.filter((text) -> text.matches("[0-9]{1,9}"))
+			.map(Long::valueOf)
+			.orElse(this.route.timeoutMillis());
+		this.deadlineMillis = this.startMillis + Math.min(requestedMillis, this.route.timeoutMillis());
 	}
 
 	void start() {
@@ -158,8 +159,7 @@
 			this.call.abort();
 		}
 		else {
-			this.dispatcher.refuse(this.call, this.requestId, reported,
-					this.startMillis + this.requestedMillis - EventLoop.nowMillis());
+			this.dispatcher.refuse(this.call, this.requestId, reported);
 		}
 	}
 
