Bound two caches, and answer followers before the own view is updated

Cause, from reading the change: callers name models freely, and the endpoints of each name were kept until the next change; compressed values of removed keys were kept for good. Change: only models that exist are kept, 64 compressed values at most, and followers are answered first. EndpointSetTests has the models.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
@@ -147,8 +147,25 @@
 	 * @return the endpoints, in no particular order
 	 */
 	public List<Endpoint> eligible(String service, Optional<String> model) {
-		return this.eligibleByDemand.computeIfAbsent(new Demand(service, model),
-				(demand) -> this.eligible.stream().filter((endpoint) -> demand.isMetBy(endpoint.record())).toList());
+		Demand demand = new Demand(service, model);
+		List<Endpoint> known = this.eligibleByDemand.get(demand);
+		if (known != null) {
+			return known;
+		}
+		List<Endpoint> found = this.eligible.stream().filter((endpoint) -> demand.isMetBy(endpoint.record())).toList();
+		// Callers name models freely; only those that exist are kept.
+		if (!found.isEmpty()) {
+			this.eligibleByDemand.put(demand, found);
+		}
+		return found;
+	}
+
+	/**
+	 * Returns the number of demands whose endpoints are cached.
+	 * @return the number of demands
+	 */
+	int cachedDemands() {
+		return this.eligibleByDemand.size();
 	}
 
 	/**
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactCompressor.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactCompressor.java
@@ -1,7 +1,7 @@
 package org.monsoonvalve.gateway.process;
 
 import java.io.ByteArrayOutputStream;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
@@ -14,8 +14,8 @@
 /**
  * Compresses large values for peers. A process passes each change on to all processes of
  * its zone, and a configuration of some thousand routes, sent to twenty of them, would
- * occupy the link of a small VM for seconds. Each value is compressed once. Confined to
- * the control thread.
+ * occupy the link of a small VM for seconds. Each value is compressed once, unless many
+ * others were in the meantime. Confined to the control thread.
  *
  * @author monsoonvalve maintainers
  */
@@ -29,7 +29,17 @@
 
 	private static final int BUFFER_BYTES = 16 * 1024;
 
-	private final Map<String, CompressedValue> latestByKey = new HashMap<>();
+	/** Compressed values that are kept; more than there are configurations and zones. */
+	private static final int MAX_KEPT = 64;
+
+	private final Map<String, CompressedValue> latestByKey = new LinkedHashMap<>() {
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, CompressedValue> eldest) {
+			return size() > MAX_KEPT;
+		}
+
+	};
 
 	/**
 	 * Encodes a key for a peer.
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
@@ -199,7 +199,6 @@
 			if (failure == null) {
 				storeAnswered();
 				apply(changes);
-				answerFollowers();
 				schedule(this::watchStore, coalesceMillis());
 			}
 			else if (ServingException.from(failure).code() == FailureCode.CONFLICT) {
@@ -267,7 +266,9 @@
 	}
 
 	private void apply(WatchableStore.Changes changes) {
-		if (this.replica.apply(changes) || this.replica.changedSinceTaken()) {
+		this.replica.apply(changes);
+		answerFollowers();
+		if (this.replica.changedSinceTaken()) {
 			publishView();
 		}
 	}
@@ -327,13 +328,13 @@
 					.stream()
 					.map((fact) -> new WatchableStore.Change(fact.key(), fact.revision(), FactCompressor.valueOf(fact)))
 					.toList()));
+		answerFollowers();
 		if (changed) {
 			if (!this.storeAvailable) {
 				this.log.record(LogEvent.FACTS_FROM_PEER, "peer", peer, "revision", facts.revision());
 			}
 			publishView();
 		}
-		answerFollowers();
 	}
 
 	private CompletableFuture<PeerFrame> handleFrame(PeerFrame frame) {
@@ -363,6 +364,7 @@
 		reply.whenComplete((facts, failure) -> end.cancel(false));
 	}
 
+	// Comes before the update of this process's own view, which may fail.
 	private void answerFollowers() {
 		List<WaitingFollower> waiting = List.copyOf(this.waitingFollowers);
 		this.waitingFollowers.clear();
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointSetTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointSetTests.java
@@ -131,6 +131,15 @@
 		Assert.assertEquals(ids("m", Optional.of("small")), List.of(), "the group is no longer planned");
 	}
 
+	// Callers choose the name of the model.
+	@Test
+	public void modelsThatDoNotExistAreNotKept() {
+		IntStream.range(0, 1000)
+			.forEach((i) -> Assert.assertTrue(this.endpoints.eligible("m", Optional.of("model-" + i)).isEmpty()));
+		choose();
+		Assert.assertEquals(this.endpoints.cachedDemands(), 1);
+	}
+
 	private void updateGroups(long revision, Map<String, EndpointRecord> records,
 			Map<String, FleetView.PlannedGroups> groups) {
 		this.endpoints
