--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FactCompressorTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FactCompressorTests.java
@@ -33,7 +33,7 @@
 		return IntStream.range(0, ROUTES)
 			.mapToObj((i) -> """
 					{"name":"r%08x","host":"h%08x.example","prefix":"/p%08x/","kind":"streaming","timeout_ms":8000,
-					"target_latency_ms":400,"priority":1,"service":"engines","max_attempts":2,"public":true}"""
+					"target_latency_ms":400,"priority":1,"service":"engines","attempts":2,"public":true}"""
 				.formatted(i * 0x9E3779B1, i * 0x85EBCA6B, i * 0xC2B2AE35))
 			.collect(Collectors.joining(",", "{\"version\":" + version + ",\"routes\":[", "]}"))
 			.getBytes(StandardCharsets.UTF_8);
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FleetViewBuilderTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FleetViewBuilderTests.java
@@ -55,13 +55,13 @@
 		this.revision = ENDPOINTS;
 		this.replica.reset(new PlatformStore.Snapshot(this.revision,
 				IntStream.range(0, ENDPOINTS)
-					.mapToObj((i) -> new PlatformStore.Entry("servers/vm-" + i, i + 1, new byte[] { 'e' }))
+					.mapToObj((i) -> new PlatformStore.Entry("endpoints/vm-" + i, i + 1, new byte[] { 'e' }))
 					.toList()));
 		FleetView first = this.builder.build(this.replica);
 		Assert.assertEquals(first.endpoints().size(), ENDPOINTS);
 		this.decodedKeys.clear();
-		FleetView second = apply("servers/vm-7", "e");
-		Assert.assertEquals(this.decodedKeys, List.of("servers/vm-7"));
+		FleetView second = apply("endpoints/vm-7", "e");
+		Assert.assertEquals(this.decodedKeys, List.of("endpoints/vm-7"));
 		Assert.assertEquals(second.endpointsChangedSince(first), Set.of("vm-7"));
 		FleetView third = apply("monsoonvalve/leases/planner-kano-a", "gateway-1");
 		Assert.assertSame(third.endpoints(), second.endpoints());
@@ -70,26 +70,26 @@
 
 	@Test
 	public void aSnapshotThatLacksAnEntryRemovesIt() {
-		apply("servers/vm-1", "e");
-		apply("servers/vm-2", "e");
+		apply("endpoints/vm-1", "e");
+		apply("endpoints/vm-2", "e");
 		this.revision = 10;
 		this.replica.reset(new PlatformStore.Snapshot(10,
-				List.of(new PlatformStore.Entry("servers/vm-2", 2, new byte[] { 'e' }))));
+				List.of(new PlatformStore.Entry("endpoints/vm-2", 2, new byte[] { 'e' }))));
 		FleetView view = this.builder.build(this.replica);
 		Assert.assertEquals(view.endpoints().keySet(), Set.of("vm-2"));
-		Assert.assertTrue(apply("servers/vm-2", null).endpoints().isEmpty());
+		Assert.assertTrue(apply("endpoints/vm-2", null).endpoints().isEmpty());
 	}
 
 	// One entry that makes its decoder fail must neither stop the process from following
 	// the store nor hide any other entry.
 	@Test
 	public void anEntryThatCannotBeDecodedLeavesTheOthersInUse() {
-		apply("servers/vm-1", "e");
-		Assert.assertEquals(apply("servers/vm-2", "throw").endpoints().keySet(), Set.of("vm-1"));
+		apply("endpoints/vm-1", "e");
+		Assert.assertEquals(apply("endpoints/vm-2", "throw").endpoints().keySet(), Set.of("vm-1"));
 		Assert.assertTrue(apply("monsoonvalve/members/gateway-2", "{\"zone\":\"kano-a\"}").members().isEmpty());
 		Assert.assertTrue(apply("monsoonvalve/groups/kano-a", "{}").groups().isEmpty());
 		Assert.assertTrue(apply("monsoonvalve/groups/kano-a", "\u0000").groups().isEmpty());
-		Assert.assertEquals(apply("servers/vm-2", "e").endpoints().keySet(), Set.of("vm-1", "vm-2"));
+		Assert.assertEquals(apply("endpoints/vm-2", "e").endpoints().keySet(), Set.of("vm-1", "vm-2"));
 	}
 
 	@Test
@@ -128,7 +128,7 @@
 			}
 			return Optional.of(entry)
 				.filter((candidate) -> text(candidate).equals("e"))
-				.map((candidate) -> new EndpointRecord(candidate.key().substring("servers/".length()), "s",
+				.map((candidate) -> new EndpointRecord(candidate.key().substring("endpoints/".length()), "s",
 						new Address("127.0.0.1", 1), "kano-a", 6, false, 0, 1, "", List.of(), List.of(),
 						Optional.empty(), candidate.revision()));
 		}
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
@@ -78,7 +78,7 @@
 		int firstBefore = watchCalls(0);
 		int othersBefore = watchCalls(1) + watchCalls(2) + watchCalls(3);
 		for (int i = 0; i < 20; i++) {
-			awaitEverywhere(this.processes, this.store.put("servers/vm-" + i, new byte[] { 1 }), PROPAGATION_MILLIS);
+			awaitEverywhere(this.processes, this.store.put("endpoints/vm-" + i, new byte[] { 1 }), PROPAGATION_MILLIS);
 		}
 		Assert.assertTrue(watchCalls(0) > firstBefore, "the process that registered first watches");
 		Assert.assertEquals(watchCalls(1) + watchCalls(2) + watchCalls(3), othersBefore);
@@ -87,7 +87,7 @@
 	@Test
 	public void theOthersHaveAChangeInTimeAfterTheWatchingProcessIsLost() {
 		this.processes.get(0).stop();
-		long revision = this.store.put("servers/vm-1", new byte[] { 1 });
+		long revision = this.store.put("endpoints/vm-1", new byte[] { 1 });
 		awaitEverywhere(this.processes.subList(1, 4), revision, RECOVERY_MILLIS);
 	}
 
@@ -95,7 +95,7 @@
 	@Test
 	public void theOthersHaveAChangeInTimeWhenTheStoreRefusesTheWatchingProcess() {
 		this.processes.get(0).store.refused = true;
-		long revision = this.store.put("servers/vm-1", new byte[] { 1 });
+		long revision = this.store.put("endpoints/vm-1", new byte[] { 1 });
 		awaitEverywhere(this.processes, revision, RECOVERY_MILLIS);
 		Assert.assertTrue(this.processes.get(0).view.revision() >= revision, "it has the change from a peer");
 	}
@@ -103,15 +103,15 @@
 	@Test
 	public void aRefusedFollowerStillHasEachChange() {
 		this.processes.get(3).store.refused = true;
-		awaitEverywhere(this.processes, this.store.put("servers/vm-1", new byte[] { 1 }), PROPAGATION_MILLIS);
+		awaitEverywhere(this.processes, this.store.put("endpoints/vm-1", new byte[] { 1 }), PROPAGATION_MILLIS);
 	}
 
 	@Test
 	public void anUnexpectedErrorInOneUpdateDoesNotEndTheFollowing() {
 		this.processes.forEach((process) -> process.failNextUpdate = true);
-		this.store.put("servers/vm-1", new byte[] { 1 });
+		this.store.put("endpoints/vm-1", new byte[] { 1 });
 		await(PROPAGATION_MILLIS, () -> this.processes.stream().noneMatch((process) -> process.failNextUpdate));
-		awaitEverywhere(this.processes, this.store.put("servers/vm-2", new byte[] { 1 }), RECOVERY_MILLIS);
+		awaitEverywhere(this.processes, this.store.put("endpoints/vm-2", new byte[] { 1 }), RECOVERY_MILLIS);
 		int watchesBefore = watchCalls(0);
 		await(RECOVERY_MILLIS, () -> watchCalls(0) > watchesBefore + 1);
 	}
