--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
@@ -145,6 +145,9 @@
 	/** A caller disconnected before its response was complete. */
 	REQUEST_ABANDONED(6206, Level.INFO, "a caller disconnected"),
 
+	/** The connection to an endpoint ended before its response was complete. */
+	RESPONSE_LOST(6207, Level.WARN, "a response was lost"),
+
 	/** This process started or stopped planning the groups of an availability zone. */
 	PLANNER_ROLE(6301, Level.INFO, "the planner role changed"),
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
@@ -59,6 +59,10 @@
 
 	private EventSplitter splitter;
 
+	private long sentMillis;
+
+	private int eventsReceived;
+
 	private long lastProgressMillis;
 
 	private EventLoop.Timer stallCheck;
@@ -74,6 +78,22 @@
 		return this.endpoint;
 	}
 
+	/**
+	 * Returns the number of events received in this attempt that contain data.
+	 * @return the number of events
+	 */
+	int eventsReceived() {
+		return this.eventsReceived;
+	}
+
+	/**
+	 * Returns the time since the request was sent to the endpoint.
+	 * @return the time in milliseconds
+	 */
+	long sentMillisAgo() {
+		return EventLoop.nowMillis() - this.sentMillis;
+	}
+
 	void connect() {
 		this.endpoint.connect()
 			.whenComplete((opened, failure) -> this.dispatcher.loop().runInLoop(() -> connected(opened, failure)));
@@ -95,7 +115,8 @@
 		this.connection = opened;
 		try {
 			long remainingMillis = this.exchange.remainingMillis();
-			this.lastProgressMillis = EventLoop.nowMillis();
+			this.sentMillis = EventLoop.nowMillis();
+			this.lastProgressMillis = this.sentMillis;
 			opened.send(this.exchange.requestFor(this.endpoint), Math.max(1, remainingMillis) + STALL_CHECK_MILLIS,
 					this);
 			this.sent = true;
@@ -242,7 +263,9 @@
 	// while its stream stands still.
 	private void eventsArrived(byte[] chunk) {
 		List<EventSplitter.Event> events = this.splitter.add(chunk);
-		if (events.stream().anyMatch(EventSplitter.Event::hasData)) {
+		int withData = (int) events.stream().filter(EventSplitter.Event::hasData).count();
+		if (withData > 0) {
+			this.eventsReceived += withData;
 			recordProgress();
 		}
 		events.forEach(this::relay);
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -40,6 +40,8 @@
 
 	private final Optional<String> model;
 
+	private final List<PromptPart> promptParts;
+
 	private final long startMillis = EventLoop.nowMillis();
 
 	private final long deadlineMillis;
@@ -69,6 +71,7 @@
 		this.requestId = call.headers().get(names.requestId()).orElse("");
 		this.response = CallerResponse.of(call, call.headers().get(names.lastEventId()));
 		this.model = match.service().engine().isPresent() ? call.headers().get(names.model()) : Optional.empty();
+		this.promptParts = PromptPart.sharedParts(call.headers().get(names.promptParts()));
 		long requestedMillis = call.headers()
 			.get(names.deadlineMillis())
 			.filter((text) -> text.matches("[0-9]{1,9}"))
@@ -128,6 +131,11 @@
 			return;
 		}
 		attempt.endpoint().suspect();
+		this.dispatcher.metrics().responseLost();
+		this.dispatcher.log()
+			.record(LogEvent.RESPONSE_LOST, "request", this.requestId, "endpoint", attempt.endpoint().record().id(),
+					"reason", reason, "events", attempt.eventsReceived(), "sent_ms_ago", attempt.sentMillisAgo(),
+					"parts", this.promptParts);
 		if (tryAcquireRetry()) {
 			sendNext(reason);
 		}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/HeaderNames.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/HeaderNames.java
@@ -13,8 +13,9 @@
  * @param workspace the caller's workspace, sent to endpoints
  * @param model the model that the request is for
  * @param lastEventId the event after which a stream is resumed
+ * @param promptParts the identifiers and sizes of the parts of the prompt
  */
 public record HeaderNames(String requestId, String deadlineMillis, String expectedEndpoint, String notRun, String load,
-		String workspace, String model, String lastEventId) {
+		String workspace, String model, String lastEventId, String promptParts) {
 
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/RequestMetrics.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/RequestMetrics.java
@@ -46,6 +46,10 @@
 		this.registry.counter("requests." + kind(route) + ".abandoned").inc();
 	}
 
+	void responseLost() {
+		this.registry.counter("responses.lost").inc();
+	}
+
 	private static String kind(Route route) {
 		return route.kind().name().toLowerCase(Locale.ROOT);
 	}
