Block parts of prompts that crash endpoints, with the evidence of all processes

Cause: the loss of an endpoint taught the fleet nothing about the requests that it ran. The next request with the part was sent by any process, and a lost one was sent again, so each of them ended up to three endpoints. Change: CrashEvidence weighs, for each shared part, crashes one after the other against sound answers. A lost response that had not begun is examined with a new connection; if the endpoint doesn't accept it, it crashed. CrashGossip spreads evidence among neighbours and compares it every second, so that a process that starts or returns is told.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
@@ -22,6 +22,8 @@
 		@JsonSubTypes.Type(value = PeerFrame.SlotRelease.class, name = "u"),
 		@JsonSubTypes.Type(value = PeerFrame.FactsQuestion.class, name = "q"),
 		@JsonSubTypes.Type(value = PeerFrame.Facts.class, name = "f"),
+		@JsonSubTypes.Type(value = PeerFrame.CrashNews.class, name = "c"),
+		@JsonSubTypes.Type(value = PeerFrame.CrashQuestion.class, name = "e"),
 		@JsonSubTypes.Type(value = PeerFrame.Ack.class, name = "d") })
 public sealed interface PeerFrame {
 
@@ -136,6 +138,38 @@
 
 	}
 
+	/**
+	 * Tells a peer of endpoints that crashed before their responses had begun, and of
+	 * prompt parts that are blocked for it.
+	 *
+	 * @param crashes the crashes
+	 * @param soundAnswers the sound answers to requests with suspected parts
+	 * @param blocks the parts that are or were blocked
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record CrashNews(List<Crash> crashes, List<SoundAnswers> soundAnswers,
+			List<CrashBlock> blocks) implements PeerFrame {
+
+		/**
+		 * Tells whether there is nothing to tell.
+		 * @return {@code true} if all lists are empty
+		 */
+		public boolean nothing() {
+			return this.crashes.isEmpty() && this.soundAnswers.isEmpty() && this.blocks.isEmpty();
+		}
+
+	}
+
+	/**
+	 * Requests {@link CrashNews} from a peer whose evidence differs.
+	 *
+	 * @param digest the digest of the sender's evidence
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record CrashQuestion(long digest) implements PeerFrame {
+
+	}
+
 	/**
 	 * Acknowledges a message that has no other reply.
 	 */
@@ -169,6 +203,75 @@
 
 	}
 
+	/**
+	 * The crash of an endpoint.
+	 *
+	 * @param endpoint the incarnation of the endpoint
+	 * @param address the endpoint's address
+	 * @param service the endpoint's service
+	 * @param endedMillisAgo the time since the crash, in milliseconds
+	 * @param suspects the parts of prompts whose responses had not begun
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record Crash(String endpoint, String address, String service, long endedMillisAgo, List<CrashSuspect> suspects) {
+
+	}
+
+	/**
+	 * A part of a prompt whose response had not begun when an endpoint crashed.
+	 *
+	 * @param part the part's identifier
+	 * @param waitedMillis the time from the sending of the request to the crash, in
+	 * milliseconds
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record CrashSuspect(long part, long waitedMillis) {
+
+	}
+
+	/**
+	 * The sound answers to requests with a suspected part.
+	 *
+	 * @param service the service
+	 * @param part the part's identifier
+	 * @param firstCrashMillisAgo the time since the first crash of the sequence, in
+	 * milliseconds
+	 * @param earlier the answers before the first crash, at most a few
+	 * @param later the answers to requests sent after it
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record SoundAnswers(String service, long part, long firstCrashMillisAgo, int earlier, List<LaterAnswers> later) {
+
+	}
+
+	/**
+	 * The sound answers that one process received.
+	 *
+	 * @param process a number that identifies the process
+	 * @param answers the number of answers
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record LaterAnswers(int process, int answers) {
+
+	}
+
+	/**
+	 * A part that is not sent to endpoints, or was not.
+	 *
+	 * @param service the service
+	 * @param part the part's identifier
+	 * @param level how often the part was blocked
+	 * @param cleared whether a later answer was sound
+	 * @param sinceMillisAgo the time since the last change, in milliseconds
+	 * @param durationMillis the time after which the part is tried again, in milliseconds
+	 * @param crashes the number of endpoints that crashed
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record CrashBlock(String service, long part, int level, boolean cleared, long sinceMillisAgo, long durationMillis,
+			int crashes) {
+
+	}
+
 	/**
 	 * A VM that the platform's VM list reported as leaving.
 	 *
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
@@ -148,6 +148,15 @@
 	/** The connection to an endpoint ended before its response was complete. */
 	RESPONSE_LOST(6207, Level.WARN, "a response was lost"),
 
+	/** An endpoint crashed before responses had begun. */
+	ENDPOINT_CRASHED(6208, Level.WARN, "an endpoint crashed before responses had begun"),
+
+	/** Requests with a part in their prompts are refused, as it crashed endpoints. */
+	PROMPT_PART_BLOCKED(6209, Level.WARN, "a part of prompts is blocked"),
+
+	/** Requests with a part that was blocked are sent again. */
+	PROMPT_PART_CLEARED(6210, Level.INFO, "a part of prompts is no longer blocked"),
+
 	/** This process started or stopped planning the groups of an availability zone. */
 	PLANNER_ROLE(6301, Level.INFO, "the planner role changed"),
 
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/request/FailureCode.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/request/FailureCode.java
@@ -47,6 +47,9 @@
 	/** No endpoint or complete replica group can take the request. */
 	NO_CAPACITY(503, RunState.NOT_RUN, true),
 
+	/** A part of the prompt crashed endpoints, so the request was not sent. */
+	PROMPT_BLOCKED(503, RunState.NOT_RUN, true),
+
 	/** No configuration has been received yet. */
 	NOT_READY(503, RunState.NOT_RUN, true),
 
--- a/monsoonvalve-ctl/src/main/java/org/monsoonvalve/ctl/request/Explanation.java
+++ b/monsoonvalve-ctl/src/main/java/org/monsoonvalve/ctl/request/Explanation.java
@@ -52,11 +52,16 @@
 			.map((line) -> line.path("endpoint").asText())
 			.filter((endpoint) -> !endpoint.isEmpty())
 			.collect(Collectors.toSet());
+		Set<String> parts = own.stream()
+			.map((line) -> line.path("part").asText())
+			.filter((part) -> !part.isEmpty())
+			.collect(Collectors.toSet());
 		long from = own.stream().mapToLong(Explanation::wallMillis).min().orElse(0) - BEFORE_MILLIS;
 		long to = own.stream().mapToLong(Explanation::wallMillis).max().orElse(0) + AFTER_MILLIS;
 		Stream<JsonNode> related = all.stream()
-			.filter((line) -> !line.has("request") && wallMillis(line) >= from && wallMillis(line) <= to)
-			.filter((line) -> endpoints.stream().anyMatch((endpoint) -> names(line, endpoint)));
+			.filter((line) -> !line.has("request"))
+			.filter((line) -> blocks(line, parts) || (wallMillis(line) >= from && wallMillis(line) <= to
+					&& endpoints.stream().anyMatch((endpoint) -> names(line, endpoint))));
 		return new Explanation(request,
 				Stream.concat(own.stream(), related)
 					.sorted(Comparator.comparingLong(Explanation::wallMillis))
@@ -75,6 +80,11 @@
 		}
 	}
 
+	// A part may have been blocked long before the request.
+	private static boolean blocks(JsonNode line, Set<String> parts) {
+		return line.path("name").asText().startsWith("PROMPT_PART_") && parts.contains(line.path("part").asText());
+	}
+
 	private static boolean names(JsonNode line, String endpoint) {
 		return line.path("endpoint").asText().equals(endpoint) || line.path("members").asText().contains(endpoint);
 	}
--- a/monsoonvalve-ctl/src/test/java/org/monsoonvalve/ctl/request/ExplanationTests.java
+++ b/monsoonvalve-ctl/src/test/java/org/monsoonvalve/ctl/request/ExplanationTests.java
@@ -27,6 +27,18 @@
 				List.of("GROUP_PLANNED", "REQUEST_SENT", "ENDPOINT_LEFT", "REQUEST_REFUSED"));
 	}
 
+	// The part was blocked long before, by another process.
+	@Test
+	public void theBlockOfAPartOfItsPromptIsGathered() {
+		List<String> log = List.of(
+				"{\"wall_ms\":600000,\"name\":\"REQUEST_REFUSED\",\"request\":\"r1\",\"code\":\"prompt-blocked\",\"part\":\"bad1\"}",
+				"{\"wall_ms\":1000,\"name\":\"PROMPT_PART_BLOCKED\",\"part\":\"bad1\",\"crashes\":3}",
+				"{\"wall_ms\":1000,\"name\":\"PROMPT_PART_BLOCKED\",\"part\":\"bad2\",\"crashes\":3}");
+		Assert.assertEquals(
+				Explanation.of("r1", log.stream()).lines().stream().map((line) -> line.path("part").asText()).toList(),
+				List.of("bad1", "bad1"));
+	}
+
 	@Test
 	public void theEndNamesTheInputsThatDecidedIt() {
 		Assert.assertEquals(Explanation.of("r1", LOG.stream()).cause().orElseThrow(),
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
@@ -135,10 +135,26 @@
 			}
 			next.connection().close();
 		}
+		return connectAnew();
+	}
+
+	/**
+	 * Opens a new connection, which shows whether the endpoint still accepts any.
+	 * @return the connection, which fails if the endpoint doesn't accept it
+	 */
+	public CompletableFuture<HttpConnection> connectAnew() {
 		this.onConnectionOpened.run();
 		return this.client.connect(this.record.address());
 	}
 
+	/**
+	 * Tells whether the endpoint was expected to end.
+	 * @return {@code true} if it is draining or its record was removed
+	 */
+	public boolean leaving() {
+		return this.removed || this.record.draining();
+	}
+
 	/**
 	 * Returns a connection to the pool after a complete response, or closes it if it
 	 * can't be reused.
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -1,12 +1,15 @@
 package org.monsoonvalve.gateway.process;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -16,6 +19,7 @@
 import org.monsoonvalve.core.connection.HttpLimits;
 import org.monsoonvalve.core.connection.HttpServer;
 import org.monsoonvalve.core.connection.IncomingCall;
+import org.monsoonvalve.core.connection.PeerFrame;
 import org.monsoonvalve.core.process.ElapsedClock;
 import org.monsoonvalve.core.process.LeaseElection;
 import org.monsoonvalve.core.process.LogEvent;
@@ -24,6 +28,7 @@
 import org.monsoonvalve.gateway.connection.Endpoint;
 import org.monsoonvalve.gateway.connection.EndpointSet;
 import org.monsoonvalve.gateway.request.Dispatcher;
+import org.monsoonvalve.gateway.request.PromptPart;
 import org.monsoonvalve.gateway.request.RequestMetrics;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.FleetView;
@@ -74,6 +79,17 @@
 	/** Part of the grace time that is reserved for the exit of the process itself. */
 	private static final long EXIT_MARGIN_MILLIS = 1200;
 
+	/** Interval between two comparisons of the evidence of crashes with a peer. */
+	private static final long CRASH_COMPARE_INTERVAL_MILLIS = 1000;
+
+	/**
+	 * Delay of news of crashes for peers, so that responses lost at once are one frame.
+	 */
+	private static final long CRASH_NEWS_DELAY_MILLIS = 10;
+
+	/** Timeout for a peer's reply; the latency between peers is a few milliseconds. */
+	private static final long PEER_TIMEOUT_MILLIS = 400;
+
 	/** Lower bound on the processes of a zone, assumed before any is known. */
 	private static final int MIN_PROCESSES_PER_ZONE = 2;
 
@@ -103,6 +119,10 @@
 
 	private final EndpointSet endpoints;
 
+	private final CrashEvidence crashes;
+
+	private final CrashGossip crashGossip;
+
 	private final StoreSync storeSync;
 
 	private final ProcessRegistration registration;
@@ -128,8 +148,11 @@
 		EngineControl engines = platform.engines(client, (name) -> this.registry.counter("orders." + name).inc());
 		this.endpoints = new EndpointSet(settings.zone(),
 				(record) -> new Endpoint(record, client, this.registry.counter("endpoint_connections")::inc), log);
+		this.crashGossip = new CrashGossip(settings.name(), this::send);
+		this.crashes = new CrashEvidence(settings.name(), EventLoop::nowMillis, this.crashGossip, new CrashListener());
+		this.crashGossip.spread(this.crashes);
 		this.dispatcher = new Dispatcher(this.loop, platform.headerNames(), this.endpoints, settings.limits(),
-				this::processCount, log, new RequestMetrics(this.registry), this::probeGroupOf);
+				this::processCount, log, new RequestMetrics(this.registry), this::probeGroupOf, this.crashes);
 		ElapsedClock clock = ElapsedClock.system();
 		this.zones = settings.zones().stream().map((zone) -> {
 			LeaseElection election = LeaseElection.of(store, clock, "planner-" + zone,
@@ -139,12 +162,13 @@
 					new ZonePlanner(zone, settings, store, engines, election, this.control, log));
 		}).toList();
 		this.storeSync = new StoreSync(store, platform.decoder(), settings, this.loop, this.control, log,
-				this::updateView);
+				this::updateView, this::handleFrame);
 		this.registration = new ProcessRegistration(store,
 				Member.of(settings.name(), settings.zone(), settings.peers()), this.control, log);
 		HttpServer.start(this.loop, settings.readiness(), HttpLimits.defaults(), this::readiness);
 		HttpServer.start(this.loop, settings.metrics(), HttpLimits.defaults(), this::metrics);
 		this.callers = HttpServer.start(this.loop, settings.callers(), HTTP_LIMITS, this.dispatcher::accept);
+		this.registry.register("prompt_parts_blocked", (Gauge<Integer>) this.crashes::blockedParts);
 		this.registry.register("view_revision", (Gauge<Long>) () -> this.view.get().revision());
 		this.registry.register("requests_in_progress", (Gauge<Integer>) this.dispatcher::inProgress);
 		this.registry.register("log_lines_dropped", (Gauge<Long>) log::dropped);
@@ -173,6 +197,7 @@
 				PLAN_INTERVAL_MILLIS, PLAN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		this.elections.scheduleWithFixedDelay(() -> runAndLogFailure("election", this::updateRoles), 0,
 				ELECTION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(CRASH_COMPARE_INTERVAL_MILLIS, this.crashGossip::compare);
 		this.loop.scheduleWithFixedDelay(IDLE_SWEEP_INTERVAL_MILLIS, this::closeIdle);
 	}
 
@@ -195,10 +220,31 @@
 	private void updateView(FleetView newView) {
 		this.view.set(newView);
 		this.maxProcessesSeen = Math.max(this.maxProcessesSeen, newView.members().size());
-		this.loop.execute(() -> this.endpoints.update(newView));
+		this.loop.execute(() -> {
+			this.endpoints.update(newView);
+			this.crashGossip.update(newView.members().values());
+		});
 		this.zones.forEach((zone) -> runAndLogFailure("plan", () -> zone.planner().update(newView)));
 	}
 
+	private CompletableFuture<PeerFrame> handleFrame(PeerFrame frame) {
+		CompletableFuture<PeerFrame> reply = new CompletableFuture<>();
+		this.loop.runInLoop(() -> reply.complete(this.crashGossip.handle(frame).orElseGet(PeerFrame.Ack::new)));
+		return reply;
+	}
+
+	private void send(Member peer, PeerFrame frame, Consumer<PeerFrame> onReply) {
+		this.storeSync.peers().ask(peer.peerAddress(), frame, PEER_TIMEOUT_MILLIS).whenComplete((reply, failure) -> {
+			if (failure != null) {
+				this.log.record(LogEvent.PEER_FAILED, "peer", peer.peerAddress(), "reason",
+						ServingException.from(failure).getMessage());
+			}
+			else {
+				this.loop.runInLoop(() -> onReply.accept(reply));
+			}
+		});
+	}
+
 	private void probeGroupOf(EndpointRecord endpoint) {
 		this.control.execute(() -> runAndLogFailure("probe members",
 				() -> this.zones.forEach((zone) -> zone.planner().probeGroupOf(endpoint))));
@@ -298,6 +344,49 @@
 		return scheduler;
 	}
 
+	/**
+	 * Logs changes of the evidence and tells peers about them.
+	 */
+	private final class CrashListener implements CrashEvidence.Listener {
+
+		private boolean newsScheduled;
+
+		@Override
+		public void news() {
+			if (!this.newsScheduled) {
+				this.newsScheduled = true;
+				Gateway.this.loop.schedule(CRASH_NEWS_DELAY_MILLIS, () -> {
+					this.newsScheduled = false;
+					Gateway.this.crashGossip.tellNews();
+				});
+			}
+		}
+
+		@Override
+		public void crashed(String endpoint, Collection<PromptPart> suspects) {
+			Gateway.this.registry.counter("endpoint_crashes").inc();
+			Gateway.this.log.record(LogEvent.ENDPOINT_CRASHED, "endpoint", endpoint, "parts", suspects);
+		}
+
+		@Override
+		public void blocked(CrashEvidence.Block block) {
+			record(LogEvent.PROMPT_PART_BLOCKED, block);
+			Gateway.this.dispatcher.partBlocked(block);
+		}
+
+		@Override
+		public void cleared(CrashEvidence.Block block) {
+			record(LogEvent.PROMPT_PART_CLEARED, block);
+		}
+
+		private void record(LogEvent event, CrashEvidence.Block block) {
+			Gateway.this.log.record(event, "service", block.part().service(), "part", block.part().part(), "crashes",
+					block.crashes(), "level", block.level(), "age_ms", EventLoop.nowMillis() - block.sinceMillis(),
+					"duration_ms", block.durationMillis());
+		}
+
+	}
+
 	private record ManagedZone(String name, LeaseElection election, RoleCandidacy candidacy, ZonePlanner planner) {
 
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.EventLoop;
@@ -104,6 +105,8 @@
 
 	private final PeerTransport peers;
 
+	private final Function<PeerFrame, CompletableFuture<PeerFrame>> otherFrames;
+
 	private final FactsUpstream upstream;
 
 	private final FactCompressor compressor = new FactCompressor();
@@ -121,7 +124,8 @@
 	private boolean readerRequestPending;
 
 	StoreSync(WatchableStore store, EntryDecoder decoder, GatewaySettings settings, EventLoop loop,
-			ScheduledExecutorService control, DecisionLog log, Consumer<FleetView> onChange) {
+			ScheduledExecutorService control, DecisionLog log, Consumer<FleetView> onChange,
+			Function<PeerFrame, CompletableFuture<PeerFrame>> otherFrames) {
 		this.store = store;
 		this.settings = settings;
 		this.control = control;
@@ -129,6 +133,7 @@
 		this.onChange = onChange;
 		this.viewBuilder = new FleetViewBuilder(decoder, log);
 		this.upstream = new FactsUpstream(settings.name(), settings.zone());
+		this.otherFrames = otherFrames;
 		this.peers = PeerTransport.start(loop, settings.peers(), control, this::handleFrame);
 	}
 
@@ -165,6 +170,10 @@
 		});
 	}
 
+	PeerTransport peers() {
+		return this.peers;
+	}
+
 	void close() {
 		this.peers.close();
 	}
@@ -338,15 +347,11 @@
 	}
 
 	private CompletableFuture<PeerFrame> handleFrame(PeerFrame frame) {
+		if (!(frame instanceof PeerFrame.FactsQuestion question)) {
+			return this.otherFrames.apply(frame);
+		}
 		CompletableFuture<PeerFrame> reply = new CompletableFuture<>();
-		this.control.execute(() -> {
-			if (frame instanceof PeerFrame.FactsQuestion question) {
-				answerOrHold(question, reply);
-			}
-			else {
-				reply.complete(new PeerFrame.Ack());
-			}
-		});
+		this.control.execute(() -> answerOrHold(question, reply));
 		return reply;
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
@@ -37,6 +37,9 @@
 
 	private static final int OK = 200;
 
+	/** Events after which a stream has begun and goes on soundly. */
+	private static final int SOUND_EVENTS = 3;
+
 	private final Exchange exchange;
 
 	private final Dispatcher dispatcher;
@@ -87,11 +90,20 @@
 	}
 
 	/**
-	 * Returns the time since the request was sent to the endpoint.
-	 * @return the time in milliseconds
+	 * Tells whether the response has begun and goes on, so that the request is not what
+	 * may crash the endpoint.
+	 * @return {@code true} if enough events were received
 	 */
-	long sentMillisAgo() {
-		return EventLoop.nowMillis() - this.sentMillis;
+	boolean sound() {
+		return this.eventsReceived >= SOUND_EVENTS;
+	}
+
+	/**
+	 * Returns the time at which the request was sent to the endpoint.
+	 * @return the time of the event loop in milliseconds, 0 if it was not sent
+	 */
+	long sentMillis() {
+		return this.sentMillis;
 	}
 
 	void connect() {
@@ -265,7 +277,11 @@
 		List<EventSplitter.Event> events = this.splitter.add(chunk);
 		int withData = (int) events.stream().filter(EventSplitter.Event::hasData).count();
 		if (withData > 0) {
+			boolean wasSound = sound();
 			this.eventsReceived += withData;
+			if (sound() && !wasSound) {
+				this.exchange.answeredSoundly(this.sentMillis);
+			}
 			recordProgress();
 		}
 		events.forEach(this::relay);
@@ -332,6 +348,9 @@
 	}
 
 	private void completeResponse() {
+		if (this.status == OK && !sound()) {
+			this.exchange.answeredSoundly(this.sentMillis);
+		}
 		CallerResponse response = this.exchange.response();
 		if (this.splitter != null) {
 			response.startStream();
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -18,6 +19,7 @@
 import org.monsoonvalve.core.request.ServingException;
 import org.monsoonvalve.gateway.connection.Endpoint;
 import org.monsoonvalve.gateway.connection.EndpointSet;
+import org.monsoonvalve.gateway.process.CrashEvidence;
 import org.monsoonvalve.gateway.process.DecisionLog;
 import org.monsoonvalve.gateway.process.GatewaySettings;
 import org.monsoonvalve.gateway.version.EndpointRecord;
@@ -85,6 +87,8 @@
 
 	private final Consumer<EndpointRecord> onStall;
 
+	private final CrashEvidence crashes;
+
 	private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
 	private final Set<Exchange> exchanges = new HashSet<>();
@@ -101,9 +105,11 @@
 	 * @param log receives the events of requests
 	 * @param metrics counts the outcomes of requests
 	 * @param onStall receives the endpoints at which requests stall
+	 * @param crashes what is known of endpoints that crashed under prompts
 	 */
 	public Dispatcher(EventLoop loop, HeaderNames names, EndpointSet endpoints, GatewaySettings.Bounds bounds,
-			IntSupplier processCount, DecisionLog log, RequestMetrics metrics, Consumer<EndpointRecord> onStall) {
+			IntSupplier processCount, DecisionLog log, RequestMetrics metrics, Consumer<EndpointRecord> onStall,
+			CrashEvidence crashes) {
 		this.loop = loop;
 		this.names = names;
 		this.endpoints = endpoints;
@@ -112,6 +118,7 @@
 		this.log = log;
 		this.metrics = metrics;
 		this.onStall = onStall;
+		this.crashes = crashes;
 	}
 
 	/**
@@ -155,6 +162,42 @@
 		return this.exchanges.size();
 	}
 
+	/**
+	 * Ends the requests that wait for their first events and have a part that is now
+	 * blocked, as it would crash their endpoints.
+	 * @param block the block
+	 */
+	public void partBlocked(CrashEvidence.Block block) {
+		List.copyOf(this.exchanges).forEach((exchange) -> exchange.partBlocked(block));
+	}
+
+	// Finds out whether an endpoint crashed under a request whose response was lost
+	// before
+	// it had begun. The end of an endpoint that was leaving is expected.
+	void examine(Attempt attempt, List<PromptPart> parts) {
+		Endpoint endpoint = attempt.endpoint();
+		if (parts.isEmpty() || endpoint.leaving()) {
+			return;
+		}
+		String incarnation = endpoint.record().incarnation();
+		if (this.crashes.lost(incarnation, endpoint.record().address().toString(), endpoint.record().service(), parts,
+				attempt.sentMillis())) {
+			endpoint.connectAnew().whenComplete((opened, failure) -> this.loop.runInLoop(() -> {
+				if (failure != null) {
+					this.crashes.crashed(incarnation);
+				}
+				else {
+					this.crashes.alive(incarnation);
+					endpoint.release(opened);
+				}
+			}));
+		}
+	}
+
+	CrashEvidence crashes() {
+		return this.crashes;
+	}
+
 	void ended(Exchange exchange) {
 		this.exchanges.remove(exchange);
 	}
@@ -162,7 +205,8 @@
 	void refuse(IncomingCall call, String requestId, ServingException failure) {
 		Headers headers = Headers.of("Content-Type", Problem.MEDIA_TYPE).with(this.names.requestId(), requestId);
 		if (failure.code().retryable()) {
-			double seconds = ThreadLocalRandom.current().nextDouble(MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS);
+			double seconds = (failure instanceof PromptBlockedException blocked) ? blocked.remainingSeconds()
+					: ThreadLocalRandom.current().nextDouble(MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS);
 			headers = headers.with("Retry-After", String.format(Locale.ROOT, "%.2f", seconds));
 		}
 		call.reply(failure.code().status(), headers, Problem.of(failure).encode());
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -13,6 +13,7 @@
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 import org.monsoonvalve.gateway.connection.Endpoint;
+import org.monsoonvalve.gateway.process.CrashEvidence;
 import org.monsoonvalve.gateway.version.Route;
 
 /**
@@ -88,6 +89,12 @@
 	}
 
 	private void sendNext(String reason) {
+		Optional<CrashEvidence.Block> block = this.dispatcher.crashes().blockOf(serviceName(), this.promptParts);
+		if (block.isPresent()) {
+			this.dispatcher.metrics().promptBlocked();
+			fail(PromptBlockedException.of(block.get()));
+			return;
+		}
 		List<Endpoint> candidates = this.dispatcher.endpoints().eligible(this.match.service().name(), this.model);
 		Optional<Endpoint> chosen = this.dispatcher.endpoints()
 			.choose(candidates, (endpoint) -> !this.triedEndpoints.contains(endpoint)
@@ -134,9 +141,14 @@
 		this.dispatcher.metrics().responseLost();
 		this.dispatcher.log()
 			.record(LogEvent.RESPONSE_LOST, "request", this.requestId, "endpoint", attempt.endpoint().record().id(),
-					"reason", reason, "events", attempt.eventsReceived(), "sent_ms_ago", attempt.sentMillisAgo(),
-					"parts", this.promptParts);
-		if (tryAcquireRetry()) {
+					"reason", reason, "events", attempt.eventsReceived(), "sent_ms_ago",
+					EventLoop.nowMillis() - attempt.sentMillis(), "parts", this.promptParts);
+		boolean repeatable = attempt.sound()
+				|| this.dispatcher.crashes().mayRepeat(serviceName(), this.promptParts, attempt.sentMillis());
+		if (!attempt.sound()) {
+			this.dispatcher.examine(attempt, this.promptParts);
+		}
+		if (repeatable && tryAcquireRetry()) {
 			sendNext(reason);
 		}
 		else {
@@ -144,6 +156,22 @@
 		}
 	}
 
+	private String serviceName() {
+		return this.match.service().name();
+	}
+
+	void answeredSoundly(long sentMillis) {
+		this.dispatcher.crashes().answered(serviceName(), this.promptParts, sentMillis);
+	}
+
+	// Ends a request that would crash its endpoint if its response began.
+	void partBlocked(CrashEvidence.Block block) {
+		boolean waiting = !this.done && this.currentAttempt != null && !this.currentAttempt.sound();
+		if (waiting && serviceName().equals(block.part().service()) && this.promptParts.contains(block.part().part())) {
+			fail(PromptBlockedException.of(block));
+		}
+	}
+
 	private boolean tryAcquireRetry() {
 		return this.route.repeatable() && this.possibleRuns < this.route.maxEndpoints() && this.attempts < MAX_ATTEMPTS
 				&& EventLoop.nowMillis() < this.deadlineMillis
@@ -161,7 +189,8 @@
 			.record(this.mayHaveRun ? LogEvent.REQUEST_FAILED : LogEvent.REQUEST_REFUSED, "request", this.requestId,
 					"code", reported.code().code(), "reason", failure.getMessage(), "candidates", candidates, "sends",
 					this.attempts, "age_ms", EventLoop.nowMillis() - this.startMillis, "view",
-					this.dispatcher.endpoints().view().revision());
+					this.dispatcher.endpoints().view().revision(), "part",
+					(failure instanceof PromptBlockedException blocked) ? blocked.part() : "");
 		this.dispatcher.metrics().failed(this.route, reported.code());
 		if (this.response.started()) {
 			this.call.abort();
--- /dev/null
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/PromptBlockedException.java
@@ -0,0 +1,44 @@
+package org.monsoonvalve.gateway.request;
+
+import org.monsoonvalve.core.connection.EventLoop;
+import org.monsoonvalve.core.request.FailureCode;
+import org.monsoonvalve.core.request.ServingException;
+import org.monsoonvalve.gateway.process.CrashEvidence;
+
+/**
+ * Thrown when a request is not sent because a part of its prompt crashed endpoints.
+ *
+ * @author monsoonvalve maintainers
+ */
+final class PromptBlockedException extends ServingException {
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	private final PromptPart part;
+
+	private final double remainingSeconds;
+
+	private PromptBlockedException(CrashEvidence.Block block, long nowMillis) {
+		super(FailureCode.PROMPT_BLOCKED, "part " + block.part().part() + " of the prompt crashed " + block.crashes()
+				+ " endpoints; blocked since " + (nowMillis - block.sinceMillis()) + " ms");
+		this.part = block.part().part();
+		this.remainingSeconds = Math.max(1, (block.untilMillis() - nowMillis) / MILLIS_PER_SECOND);
+	}
+
+	static PromptBlockedException of(CrashEvidence.Block block) {
+		return new PromptBlockedException(block, EventLoop.nowMillis());
+	}
+
+	PromptPart part() {
+		return this.part;
+	}
+
+	/**
+	 * Returns the time until the part may be tried again.
+	 * @return the time in seconds, at least 1
+	 */
+	double remainingSeconds() {
+		return this.remainingSeconds;
+	}
+
+}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/RequestMetrics.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/RequestMetrics.java
@@ -50,6 +50,10 @@
 		this.registry.counter("responses.lost").inc();
 	}
 
+	void promptBlocked() {
+		this.registry.counter("requests.prompt_blocked").inc();
+	}
+
 	private static String kind(Route route) {
 		return route.kind().name().toLowerCase(Locale.ROOT);
 	}
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
@@ -6,12 +6,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.BooleanSupplier;
 
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.EventLoop;
+import org.monsoonvalve.core.connection.PeerFrame;
 import org.monsoonvalve.core.connection.PlatformStore;
 import org.monsoonvalve.core.process.Codec;
 import org.monsoonvalve.gateway.version.EndpointRecord;
@@ -144,7 +146,7 @@
 			DecisionLog log = DecisionLog.start(Clock.systemUTC(), name, (line) -> {
 			});
 			this.sync = new StoreSync(this.store, new EndpointDecoder(), settings, this.loop, this.control, log,
-					this::update);
+					this::update, (frame) -> CompletableFuture.completedFuture(new PeerFrame.Ack()));
 			this.sync.start();
 		}
 
