--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
@@ -157,6 +157,12 @@
 	/** Requests with a part that was blocked are sent again. */
 	PROMPT_PART_CLEARED(6210, Level.INFO, "a part of prompts is no longer blocked"),
 
+	/** An endpoint limits the requests per second that it accepts. */
+	ENDPOINT_LIMITED(6211, Level.INFO, "an endpoint limits its requests"),
+
+	/** An endpoint no longer limits its requests. */
+	ENDPOINT_UNLIMITED(6212, Level.INFO, "an endpoint no longer limits its requests"),
+
 	/** This process started or stopped planning the groups of an availability zone. */
 	PLANNER_ROLE(6301, Level.INFO, "the planner role changed"),
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
@@ -194,6 +195,14 @@
 		}
 	}
 
+	void limitNamed(Endpoint endpoint, OptionalDouble limitPerSecond) {
+		if (endpoint.limitRequests(limitPerSecond)) {
+			this.log.record(limitPerSecond.isPresent() ? LogEvent.ENDPOINT_LIMITED : LogEvent.ENDPOINT_UNLIMITED,
+					"endpoint", endpoint.record().id(), "limit_per_s", limitPerSecond.orElse(0), "sent_last_s",
+					endpoint.sentInLastSecond(EventLoop.nowMillis()));
+		}
+	}
+
 	CrashEvidence crashes() {
 		return this.crashes;
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/HeaderNames.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/HeaderNames.java
@@ -13,9 +13,10 @@
  * @param workspace the caller's workspace, sent to endpoints
  * @param model the model that the request is for
  * @param lastEventId the event after which a stream is resumed
+ * @param requestLimit the requests per second that an endpoint accepts from all processes
  * @param promptParts the identifiers and sizes of the parts of the prompt
  */
 public record HeaderNames(String requestId, String deadlineMillis, String expectedEndpoint, String notRun, String load,
-		String workspace, String model, String lastEventId, String promptParts) {
+		String workspace, String model, String lastEventId, String requestLimit, String promptParts) {
 
 }
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ForwardedHeadersTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ForwardedHeadersTests.java
@@ -9,7 +9,7 @@
 public class ForwardedHeadersTests {
 
 	static final HeaderNames NAMES = new HeaderNames("Request-Id", "Deadline", "Only-At", "Not-Run", "Load",
-			"Workspace", "Model", "Last-Event-ID", "Prompt-Parts");
+			"Workspace", "Model", "Last-Event-ID", "Request-Limit", "Prompt-Parts");
 
 	@Test
 	public void theApiKeyReservedFieldsAndHopByHopFieldsAreNotForwarded() {
