Share the request limits that endpoints name among all processes

Cause: the limit wasn't read, and nothing in a process keeps a rate for an endpoint other than its cold one. Change: EndpointLimits keeps what answers say and divides each limit among a few processes, the endpoint's zone first, chosen alike by all (rendezvous hashing), so that each of them may send about one request a second; the others send none. FleetGossip, the former CrashGossip, tells limits and their ends to the peers. An endpoint whose share is used up counts as full in the selection, so requests go elsewhere or are refused at once. Evidence: LimitedEndpointTests failed on the code before (26 requests in 4 s, allowed 17) and passes. EndpointLimitsTests plays 8, 65 and 95 processes with limits of 0.4, 3 and 12 a second: the sum holds, also while processes join and leave, four fifths are used, and all forget a limit that has ended. Tests of core, gateway, platform, entry and ctl pass.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
@@ -24,6 +24,7 @@
 		@JsonSubTypes.Type(value = PeerFrame.Facts.class, name = "f"),
 		@JsonSubTypes.Type(value = PeerFrame.CrashNews.class, name = "c"),
 		@JsonSubTypes.Type(value = PeerFrame.CrashQuestion.class, name = "e"),
+		@JsonSubTypes.Type(value = PeerFrame.LimitNews.class, name = "l"),
 		@JsonSubTypes.Type(value = PeerFrame.Ack.class, name = "d") })
 public sealed interface PeerFrame {
 
@@ -170,6 +171,16 @@
 
 	}
 
+	/**
+	 * Tells a peer of the request rates that endpoints accept.
+	 *
+	 * @param limits the limits, also those that ended lately
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record LimitNews(List<EndpointLimit> limits) implements PeerFrame {
+
+	}
+
 	/**
 	 * Acknowledges a message that has no other reply.
 	 */
@@ -272,6 +283,25 @@
 
 	}
 
+	/**
+	 * The requests per second that an endpoint accepts from all processes.
+	 *
+	 * @param endpoint the endpoint's identifier
+	 * @param bornMillis the start time of its incarnation, in milliseconds since the Unix
+	 * epoch
+	 * @param zone its availability zone
+	 * @param perSecond the requests per second, {@value #NONE} if it has no limit any
+	 * longer
+	 * @param namedMillisAgo the time since an answer said so, in milliseconds
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record EndpointLimit(String endpoint, long bornMillis, String zone, double perSecond, long namedMillisAgo) {
+
+		/** The rate of an endpoint that has no limit any longer. */
+		public static final double NONE = -1;
+
+	}
+
 	/**
 	 * A VM that the platform's VM list reported as leaving.
 	 *
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 
 import org.monsoonvalve.core.connection.EventLoop;
@@ -84,8 +83,6 @@
 
 	private long busySinceMillis;
 
-	private OptionalDouble requestLimitPerSecond = OptionalDouble.empty();
-
 	private boolean removed;
 
 	/**
@@ -220,18 +217,6 @@
 		this.lastReportMillis = EventLoop.nowMillis();
 	}
 
-	/**
-	 * Replaces the limit that the endpoint named in its last answer.
-	 * @param newLimitPerSecond the requests per second that it accepts from all
-	 * processes, empty without a limit
-	 * @return {@code true} if the limit has changed
-	 */
-	public boolean limitRequests(OptionalDouble newLimitPerSecond) {
-		boolean changed = !newLimitPerSecond.equals(this.requestLimitPerSecond);
-		this.requestLimitPerSecond = newLimitPerSecond;
-		return changed;
-	}
-
 	/**
 	 * Returns the number of requests that are known to be at the endpoint, from all
 	 * processes, for the limits on requests per endpoint.
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/CrashGossip.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetGossip.java
@@ -13,15 +13,15 @@
 import org.monsoonvalve.gateway.version.Member;
 
 /**
- * Spreads the evidence of crashed endpoints among the processes. Each process has a
- * number of neighbours that grows with the logarithm of the fleet. It tells them news at
- * once, and they pass on what is new to them; besides, it compares its evidence with one
- * neighbour after the other, so that a process that started or was partitioned is told
- * what it lacks. Confined to the event loop.
+ * Spreads the evidence of crashed endpoints and the limits of endpoints among the
+ * processes. Each process has a number of neighbours that grows with the logarithm of the
+ * fleet. It tells them news at once, and they pass on what is new to them; besides, it
+ * compares its evidence with one neighbour after the other, so that a process that
+ * started or was partitioned is told what it lacks. Confined to the event loop.
  *
  * @author monsoonvalve maintainers
  */
-final class CrashGossip implements CrashEvidence.TrialSchedule {
+final class FleetGossip implements CrashEvidence.TrialSchedule {
 
 	/**
 	 * Time for which one process may try an expired part again before another one may; an
@@ -31,6 +31,9 @@
 
 	private static final int MAX_TRIED = 1024;
 
+	/** Comparisons of evidence for each neighbour that is told all limits. */
+	private static final int COMPARISONS_PER_LIMITS = 5;
+
 	private final String self;
 
 	private final Sender sender;
@@ -39,6 +42,8 @@
 
 	private CrashEvidence evidence;
 
+	private EndpointLimits limits;
+
 	private List<Member> members = List.of();
 
 	private List<Member> neighbours = List.of();
@@ -50,17 +55,19 @@
 	 * @param self the name of this process
 	 * @param sender sends frames to peers
 	 */
-	CrashGossip(String self, Sender sender) {
+	FleetGossip(String self, Sender sender) {
 		this.self = self;
 		this.sender = sender;
 	}
 
 	/**
-	 * Sets the evidence to spread.
-	 * @param shared the evidence
+	 * Sets what is spread.
+	 * @param sharedEvidence the evidence of crashed endpoints
+	 * @param sharedLimits the limits of endpoints
 	 */
-	void spread(CrashEvidence shared) {
-		this.evidence = shared;
+	void spread(CrashEvidence sharedEvidence, EndpointLimits sharedLimits) {
+		this.evidence = sharedEvidence;
+		this.limits = sharedLimits;
 	}
 
 	/**
@@ -77,6 +84,7 @@
 			.mapToObj(this::membersAfter)
 			.findFirst()
 			.orElse(this.members);
+		this.limits.update(this.members);
 		this.neighbours = IntStream.iterate(1, (distance) -> distance <= others.size(), (distance) -> 2 * distance)
 			.mapToObj((distance) -> others.get(distance - 1))
 			.toList();
@@ -100,6 +108,11 @@
 			this.neighbours.forEach((neighbour) -> this.sender.send(neighbour, news, (ignored) -> {
 			}));
 		}
+		PeerFrame.LimitNews limitNews = this.limits.takeNews();
+		if (!limitNews.limits().isEmpty()) {
+			this.neighbours.forEach((neighbour) -> this.sender.send(neighbour, limitNews, (ignored) -> {
+			}));
+		}
 	}
 
 	/**
@@ -115,6 +128,17 @@
 				this.evidence.merge(news);
 			}
 		});
+		if (this.nextNeighbour % COMPARISONS_PER_LIMITS == 0) {
+			tellAllLimits(neighbour);
+		}
+	}
+
+	private void tellAllLimits(Member neighbour) {
+		PeerFrame.LimitNews all = this.limits.all();
+		if (!all.limits().isEmpty()) {
+			this.sender.send(neighbour, all, (ignored) -> {
+			});
+		}
 	}
 
 	/**
@@ -127,6 +151,10 @@
 			this.evidence.merge(news);
 			return Optional.of(new PeerFrame.Ack());
 		}
+		if (frame instanceof PeerFrame.LimitNews news) {
+			this.limits.merge(news);
+			return Optional.of(new PeerFrame.Ack());
+		}
 		if (frame instanceof PeerFrame.CrashQuestion question) {
 			return Optional.of((question.digest() == this.evidence.digest())
 					? new PeerFrame.CrashNews(List.of(), List.of(), List.of()) : this.evidence.all());
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -121,7 +122,9 @@
 
 	private final CrashEvidence crashes;
 
-	private final CrashGossip crashGossip;
+	private final EndpointLimits limits;
+
+	private final FleetGossip gossip;
 
 	private final StoreSync storeSync;
 
@@ -148,11 +151,14 @@
 		EngineControl engines = platform.engines(client, (name) -> this.registry.counter("orders." + name).inc());
 		this.endpoints = new EndpointSet(settings.zone(),
 				(record) -> new Endpoint(record, client, this.registry.counter("endpoint_connections")::inc), log);
-		this.crashGossip = new CrashGossip(settings.name(), this::send);
-		this.crashes = new CrashEvidence(settings.name(), EventLoop::nowMillis, this.crashGossip, new CrashListener());
-		this.crashGossip.spread(this.crashes);
+		this.gossip = new FleetGossip(settings.name(), this::send);
+		EvidenceListener listener = new EvidenceListener();
+		this.crashes = new CrashEvidence(settings.name(), EventLoop::nowMillis, this.gossip, listener);
+		this.limits = new EndpointLimits(settings.name(), EventLoop::nowMillis, listener);
+		this.gossip.spread(this.crashes, this.limits);
 		this.dispatcher = new Dispatcher(this.loop, platform.headerNames(), this.endpoints, settings.limits(),
-				this::processCount, log, new RequestMetrics(this.registry), this::probeGroupOf, this.crashes);
+				this::processCount, log, new RequestMetrics(this.registry), this::probeGroupOf, this.crashes,
+				this.limits);
 		ElapsedClock clock = ElapsedClock.system();
 		this.zones = settings.zones().stream().map((zone) -> {
 			LeaseElection election = LeaseElection.of(store, clock, "planner-" + zone,
@@ -169,6 +175,7 @@
 		HttpServer.start(this.loop, settings.metrics(), HttpLimits.defaults(), this::metrics);
 		this.callers = HttpServer.start(this.loop, settings.callers(), HTTP_LIMITS, this.dispatcher::accept);
 		this.registry.register("prompt_parts_blocked", (Gauge<Integer>) this.crashes::blockedParts);
+		this.registry.register("endpoints_limited", (Gauge<Integer>) this.limits::size);
 		this.registry.register("view_revision", (Gauge<Long>) () -> this.view.get().revision());
 		this.registry.register("requests_in_progress", (Gauge<Integer>) this.dispatcher::inProgress);
 		this.registry.register("log_lines_dropped", (Gauge<Long>) log::dropped);
@@ -197,7 +204,7 @@
 				PLAN_INTERVAL_MILLIS, PLAN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		this.elections.scheduleWithFixedDelay(() -> runAndLogFailure("election", this::updateRoles), 0,
 				ELECTION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-		this.loop.scheduleWithFixedDelay(CRASH_COMPARE_INTERVAL_MILLIS, this.crashGossip::compare);
+		this.loop.scheduleWithFixedDelay(CRASH_COMPARE_INTERVAL_MILLIS, this.gossip::compare);
 		this.loop.scheduleWithFixedDelay(IDLE_SWEEP_INTERVAL_MILLIS, this::closeIdle);
 	}
 
@@ -222,14 +229,14 @@
 		this.maxProcessesSeen = Math.max(this.maxProcessesSeen, newView.members().size());
 		this.loop.execute(() -> {
 			this.endpoints.update(newView);
-			this.crashGossip.update(newView.members().values());
+			this.gossip.update(newView.members().values());
 		});
 		this.zones.forEach((zone) -> runAndLogFailure("plan", () -> zone.planner().update(newView)));
 	}
 
 	private CompletableFuture<PeerFrame> handleFrame(PeerFrame frame) {
 		CompletableFuture<PeerFrame> reply = new CompletableFuture<>();
-		this.loop.runInLoop(() -> reply.complete(this.crashGossip.handle(frame).orElseGet(PeerFrame.Ack::new)));
+		this.loop.runInLoop(() -> reply.complete(this.gossip.handle(frame).orElseGet(PeerFrame.Ack::new)));
 		return reply;
 	}
 
@@ -347,7 +354,7 @@
 	/**
 	 * Logs changes of the evidence and tells peers about them.
 	 */
-	private final class CrashListener implements CrashEvidence.Listener {
+	private final class EvidenceListener implements CrashEvidence.Listener, EndpointLimits.Listener {
 
 		private boolean newsScheduled;
 
@@ -357,11 +364,17 @@
 				this.newsScheduled = true;
 				Gateway.this.loop.schedule(CRASH_NEWS_DELAY_MILLIS, () -> {
 					this.newsScheduled = false;
-					Gateway.this.crashGossip.tellNews();
+					Gateway.this.gossip.tellNews();
 				});
 			}
 		}
 
+		@Override
+		public void changed(String endpoint, OptionalDouble perSecond) {
+			Gateway.this.log.record(perSecond.isPresent() ? LogEvent.ENDPOINT_LIMITED : LogEvent.ENDPOINT_UNLIMITED,
+					"endpoint", endpoint, "limit_per_s", perSecond.orElse(0));
+		}
+
 		@Override
 		public void crashed(String endpoint, Collection<PromptPart> suspects) {
 			Gateway.this.registry.counter("endpoint_crashes").inc();
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
@@ -223,7 +223,7 @@
 		this.status = replyStatus;
 		this.headers = replyHeaders;
 		replyHeaders.get(names.load()).ifPresent(this::recordLoad);
-		this.dispatcher.limitNamed(this.endpoint, RequestLimit.of(replyHeaders.get(names.requestLimit())));
+		this.dispatcher.limits().named(this.endpoint.record(), RequestLimit.of(replyHeaders.get(names.requestLimit())));
 		if (notRunByEndpoint()) {
 			return;
 		}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
@@ -22,6 +21,7 @@
 import org.monsoonvalve.gateway.connection.EndpointSet;
 import org.monsoonvalve.gateway.process.CrashEvidence;
 import org.monsoonvalve.gateway.process.DecisionLog;
+import org.monsoonvalve.gateway.process.EndpointLimits;
 import org.monsoonvalve.gateway.process.GatewaySettings;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.ServiceProfile;
@@ -90,6 +90,8 @@
 
 	private final CrashEvidence crashes;
 
+	private final EndpointLimits limits;
+
 	private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
 	private final Set<Exchange> exchanges = new HashSet<>();
@@ -107,10 +109,11 @@
 	 * @param metrics counts the outcomes of requests
 	 * @param onStall receives the endpoints at which requests stall
 	 * @param crashes what is known of endpoints that crashed under prompts
+	 * @param limits the request rates that endpoints accept
 	 */
 	public Dispatcher(EventLoop loop, HeaderNames names, EndpointSet endpoints, GatewaySettings.Bounds bounds,
 			IntSupplier processCount, DecisionLog log, RequestMetrics metrics, Consumer<EndpointRecord> onStall,
-			CrashEvidence crashes) {
+			CrashEvidence crashes, EndpointLimits limits) {
 		this.loop = loop;
 		this.names = names;
 		this.endpoints = endpoints;
@@ -120,6 +123,7 @@
 		this.metrics = metrics;
 		this.onStall = onStall;
 		this.crashes = crashes;
+		this.limits = limits;
 	}
 
 	/**
@@ -195,12 +199,8 @@
 		}
 	}
 
-	void limitNamed(Endpoint endpoint, OptionalDouble limitPerSecond) {
-		if (endpoint.limitRequests(limitPerSecond)) {
-			this.log.record(limitPerSecond.isPresent() ? LogEvent.ENDPOINT_LIMITED : LogEvent.ENDPOINT_UNLIMITED,
-					"endpoint", endpoint.record().id(), "limit_per_s", limitPerSecond.orElse(0), "sent_last_s",
-					endpoint.sentInLastSecond(EventLoop.nowMillis()));
-		}
+	EndpointLimits limits() {
+		return this.limits;
 	}
 
 	CrashEvidence crashes() {
@@ -243,6 +243,9 @@
 				return false;
 			}
 		}
+		if (!this.limits.mayTake(endpoint.record())) {
+			return false;
+		}
 		int slots = Math.max(1, endpoint.record().slots());
 		boolean engine = endpoint.record().membership().isPresent();
 		int maxRequests = engine ? slots + MAX_QUEUED_AT_ENGINE : slots * MAX_PLAIN_REQUESTS_PER_SLOT;
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/CrashSimulation.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/CrashSimulation.java
@@ -22,7 +22,7 @@
 
 /**
  * A simulated fleet of processes before endpoints that may crash, with simulated time.
- * Processes decide by {@link CrashEvidence} and {@link CrashGossip}; messages between
+ * Processes decide by {@link CrashEvidence} and {@link FleetGossip}; messages between
  * them take some milliseconds.
  */
 final class CrashSimulation {
@@ -253,7 +253,7 @@
 
 		private final Member member;
 
-		private CrashGossip gossip;
+		private FleetGossip gossip;
 
 		private CrashEvidence evidence;
 
@@ -273,10 +273,11 @@
 		}
 
 		private void reset() {
-			this.gossip = new CrashGossip(this.member.name(), this::transmit);
+			this.gossip = new FleetGossip(this.member.name(), this::transmit);
 			this.evidence = new CrashEvidence(this.member.name(), () -> CrashSimulation.this.nowMillis, this.gossip,
 					this);
-			this.gossip.spread(this.evidence);
+			this.gossip.spread(this.evidence,
+					new EndpointLimits(this.member.name(), () -> CrashSimulation.this.nowMillis, null));
 			this.newsScheduled = false;
 			this.waiting.clear();
 		}
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -25,6 +25,7 @@
 import org.monsoonvalve.gateway.connection.EndpointSet;
 import org.monsoonvalve.gateway.process.CrashEvidence;
 import org.monsoonvalve.gateway.process.DecisionLog;
+import org.monsoonvalve.gateway.process.EndpointLimits;
 import org.monsoonvalve.gateway.process.GatewaySettings;
 import org.monsoonvalve.gateway.version.ClientLimits;
 import org.monsoonvalve.gateway.version.EndpointRecord;
@@ -126,7 +127,8 @@
 		this.dispatcher = new Dispatcher(this.loop, ForwardedHeadersTests.NAMES, endpoints,
 				new GatewaySettings.Bounds(8000, 0.2, 10_000, 100, 1.5, 5, 5000), () -> 1, log,
 				new RequestMetrics(new MetricRegistry()), this.stalledEndpoints::add,
-				new CrashEvidence("gateway-1", EventLoop::nowMillis, null, null));
+				new CrashEvidence("gateway-1", EventLoop::nowMillis, null, null),
+				new EndpointLimits("gateway-1", EventLoop::nowMillis, null));
 		this.frontend = HttpServer.start(this.loop, new Address("127.0.0.1", this.port),
 				new HttpLimits(16384, 100_000, 100_000), this.dispatcher::accept);
 	}
