Test blocked prompts and limits at the level of one exchange

Change: four tests in ExchangeTests; the time in the refusal comes from the clock that blocks are measured by.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/CrashEvidence.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/CrashEvidence.java
@@ -502,6 +502,14 @@
 		}
 	}
 
+	/**
+	 * Returns the time that blocks are measured by.
+	 * @return the time in milliseconds
+	 */
+	public long nowMillis() {
+		return this.clock.getAsLong();
+	}
+
 	/**
 	 * Returns the number of items in memory.
 	 * @return crashes, suspected, counted and blocked parts
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -92,7 +92,7 @@
 		Optional<CrashEvidence.Block> block = this.dispatcher.crashes().blockOf(serviceName(), this.promptParts);
 		if (block.isPresent()) {
 			this.dispatcher.metrics().promptBlocked();
-			fail(PromptBlockedException.of(block.get()));
+			fail(new PromptBlockedException(block.get(), this.dispatcher.crashes().nowMillis()));
 			return;
 		}
 		List<Endpoint> candidates = this.dispatcher.endpoints().eligible(this.match.service().name(), this.model);
@@ -169,7 +169,7 @@
 	void partBlocked(CrashEvidence.Block block) {
 		boolean waiting = !this.done && this.currentAttempt != null && !this.currentAttempt.sound();
 		if (waiting && serviceName().equals(block.part().service()) && this.promptParts.contains(block.part().part())) {
-			fail(PromptBlockedException.of(block));
+			fail(new PromptBlockedException(block, this.dispatcher.crashes().nowMillis()));
 		}
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/PromptBlockedException.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/PromptBlockedException.java
@@ -1,6 +1,5 @@
 package org.monsoonvalve.gateway.request;
 
-import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 import org.monsoonvalve.gateway.process.CrashEvidence;
@@ -18,17 +17,18 @@
 
 	private final double remainingSeconds;
 
-	private PromptBlockedException(CrashEvidence.Block block, long nowMillis) {
+	/**
+	 * Creates an exception.
+	 * @param block the block
+	 * @param nowMillis the time of the block's clock, in milliseconds
+	 */
+	PromptBlockedException(CrashEvidence.Block block, long nowMillis) {
 		super(FailureCode.PROMPT_BLOCKED, "part " + block.part().part() + " of the prompt crashed " + block.crashes()
 				+ " endpoints; blocked since " + (nowMillis - block.sinceMillis()) + " ms");
 		this.part = block.part().part();
 		this.remainingSeconds = Math.max(1, (block.untilMillis() - nowMillis) / MILLIS_PER_SECOND);
 	}
 
-	static PromptBlockedException of(CrashEvidence.Block block) {
-		return new PromptBlockedException(block, EventLoop.nowMillis());
-	}
-
 	PromptPart part() {
 		return this.part;
 	}
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -6,14 +6,17 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.MetricRegistry;
 import org.monsoonvalve.core.connection.Address;
@@ -56,6 +59,10 @@
 
 	private HttpClient client;
 
+	private final AtomicLong evidenceMillis = new AtomicLong();
+
+	private CrashEvidence crashes;
+
 	private HttpServer frontend;
 
 	private Dispatcher dispatcher;
@@ -124,27 +131,35 @@
 		}), log);
 		endpoints
 			.update(new FleetView(1, Optional.of(configuration), 1, Set.of(), records, Map.of(), Map.of(), Map.of()));
+		this.crashes = new CrashEvidence("gateway-1", this.evidenceMillis::get, new NoTrials(), new BlockListener());
 		this.dispatcher = new Dispatcher(this.loop, ForwardedHeadersTests.NAMES, endpoints,
 				new GatewaySettings.Bounds(8000, 0.2, 10_000, 100, 1.5, 5, 5000), () -> 1, log,
-				new RequestMetrics(new MetricRegistry()), this.stalledEndpoints::add,
-				new CrashEvidence("gateway-1", EventLoop::nowMillis, null, null),
-				new EndpointLimits("gateway-1", EventLoop::nowMillis, null));
+				new RequestMetrics(new MetricRegistry()), this.stalledEndpoints::add, this.crashes,
+				new EndpointLimits("gateway-1", EventLoop::nowMillis, new NoLimitNews()));
 		this.frontend = HttpServer.start(this.loop, new Address("127.0.0.1", this.port),
 				new HttpLimits(16384, 100_000, 100_000), this.dispatcher::accept);
 	}
 
 	private Socket send() throws IOException {
+		return send("");
+	}
+
+	private Socket send(String fields) throws IOException {
 		Socket socket = new Socket("127.0.0.1", this.port);
 		socket.setSoTimeout(5000);
 		socket.getOutputStream()
 			.write(("POST /a/x?q=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: id-1\r\nAuthorization: Bearer key-1\r\n"
-					+ "Deadline: 9000\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody")
+					+ "Deadline: 9000\r\n" + fields + "Connection: close\r\nContent-Length: 4\r\n\r\nbody")
 				.getBytes(StandardCharsets.US_ASCII));
 		return socket;
 	}
 
 	private String sendAndRead() throws IOException {
-		try (Socket socket = send()) {
+		return sendAndRead("");
+	}
+
+	private String sendAndRead(String fields) throws IOException {
+		try (Socket socket = send(fields)) {
 			StringBuilder response = new StringBuilder();
 			try {
 				for (int next = socket.getInputStream().read(); next >= 0; next = socket.getInputStream().read()) {
@@ -410,4 +425,122 @@
 		Assert.assertEquals(second.requests.size(), 0);
 	}
 
+	// Makes three endpoints crash one after the other under a part of a prompt.
+	private void crashEndpoints(PromptPart part) {
+		for (int i = 0; i < 3; i++) {
+			String endpoint = "crashed-" + i + "@1";
+			this.evidenceMillis.addAndGet(1000);
+			this.crashes.lost(endpoint, "10.0.0." + i + ":1", "s", List.of(part), this.evidenceMillis.get());
+			this.crashes.crashed(endpoint);
+		}
+	}
+
+	@Test
+	public void aRequestWithAPartThatCrashesEndpointsIsRefusedAtOnceAndNotSent() throws IOException {
+		ScriptedEndpoint endpoint = endpoint(OK, ScriptedEndpoint.ConnectionAction.KEEP);
+		serve(RequestKind.STREAM, endpoint.address());
+		crashEndpoints(new PromptPart(0xbad));
+		String response = sendAndRead("Prompt-Parts: 1:40,bad:5,77:1\r\n");
+		Assert.assertTrue(response.startsWith("HTTP/1.1 503") && response.contains("prompt-blocked")
+				&& response.contains("Retry-After: 600"), response);
+		Assert.assertEquals(endpoint.requests.size(), 0);
+		Assert.assertTrue(sendAndRead("Prompt-Parts: 1:40,2:5,bad:1\r\n").endsWith("ok"),
+				"the last part belongs to the request alone");
+	}
+
+	@Test
+	public void aRequestThatWaitsWhenItsPartIsBlockedIsCancelledAtItsEndpoint() throws Exception {
+		ScriptedEndpoint endpoint = endpoint("", ScriptedEndpoint.ConnectionAction.KEEP);
+		serve(RequestKind.STREAM, endpoint.address());
+		try (Socket waiting = send("Prompt-Parts: 1:40,bad:5,77:1\r\n")) {
+			while (endpoint.requests.isEmpty()) {
+				Thread.onSpinWait();
+			}
+			this.loop.execute(() -> crashEndpoints(new PromptPart(0xbad)));
+			Assert.assertTrue(endpoint.callerDisconnected.await(500, TimeUnit.MILLISECONDS));
+			Assert.assertEquals(new String(waiting.getInputStream().readNBytes(12), StandardCharsets.US_ASCII),
+					"HTTP/1.1 502", "it may have run");
+		}
+	}
+
+	// An endpoint that accepts connections after it lost a response has not crashed.
+	@Test
+	public void lostResponsesOfAnEndpointThatLivesBlockNothing() throws IOException {
+		ScriptedEndpoint first = endpoint("", ScriptedEndpoint.ConnectionAction.CLOSE);
+		ScriptedEndpoint second = endpoint("", ScriptedEndpoint.ConnectionAction.RESET);
+		serve(RequestKind.STREAM, first.address(), second.address());
+		for (int i = 0; i < 6; i++) {
+			this.evidenceMillis.addAndGet(1000);
+			sendAndRead("Prompt-Parts: 1:40,2:5,77:1\r\n");
+		}
+		Assert.assertEquals(this.crashes.blockedParts(), 0);
+	}
+
+	@Test
+	public void anEndpointAtItsLimitIsPassedOver() throws IOException {
+		String limited = OK.replace("Served-By", "Request-Limit: 0.5\r\nServed-By");
+		ScriptedEndpoint first = endpoint(limited, ScriptedEndpoint.ConnectionAction.KEEP);
+		ScriptedEndpoint second = endpoint(OK, ScriptedEndpoint.ConnectionAction.KEEP);
+		serve(RequestKind.SAFE, first.address(), second.address());
+		for (int i = 0; i < 10; i++) {
+			Assert.assertTrue(sendAndRead().endsWith("ok"));
+		}
+		Assert.assertTrue(first.requests.size() <= 3, "sent " + first.requests.size());
+	}
+
+	/**
+	 * Lets no process try a blocked part again.
+	 */
+	private static final class NoTrials implements CrashEvidence.TrialSchedule {
+
+		@Override
+		public boolean mayTry(CrashEvidence.Block block, long nowMillis) {
+			return false;
+		}
+
+		@Override
+		public void tried(CrashEvidence.Block block) {
+		}
+
+	}
+
+	/**
+	 * Ignores changes of limits.
+	 */
+	private static final class NoLimitNews implements EndpointLimits.Listener {
+
+		@Override
+		public void news() {
+		}
+
+		@Override
+		public void changed(String endpoint, OptionalDouble perSecond) {
+		}
+
+	}
+
+	/**
+	 * Passes blocks on to the dispatcher, as the gateway does.
+	 */
+	private final class BlockListener implements CrashEvidence.Listener {
+
+		@Override
+		public void news() {
+		}
+
+		@Override
+		public void crashed(String endpoint, Collection<PromptPart> suspects) {
+		}
+
+		@Override
+		public void blocked(CrashEvidence.Block block) {
+			ExchangeTests.this.dispatcher.partBlocked(block);
+		}
+
+		@Override
+		public void cleared(CrashEvidence.Block block) {
+		}
+
+	}
+
 }
