Split the evidence of crashes into types of its own

Change: PromptBlock, ServicePart, EndpointCrash and Suspicion are files of their own; FleetGossip leaves its neighbours as they are while the members don't change. CrashEvidenceTests, EndpointLimitsTests, ExchangeTests and PromptPartTests pass.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/CrashEvidence.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/CrashEvidence.java
@@ -44,12 +44,6 @@
 	 */
 	private static final int MAX_COUNTED_CRASHES = 12;
 
-	/**
-	 * Time after the first crash of a sequence in which crashes and sound answers are
-	 * weighed against each other; then a new sequence begins with the next crash.
-	 */
-	static final long SEQUENCE_MILLIS = 10_000;
-
 	/** Time for which a crash is kept. */
 	static final long CRASH_LIFETIME_MILLIS = 60_000;
 
@@ -62,20 +56,6 @@
 	/** Parts whose sound answers are counted; the least recently used are discarded. */
 	static final int MAX_COUNTED_PARTS = 8192;
 
-	/** Parts that are reported for one crash; all of them are callers' input. */
-	static final int MAX_SUSPECTS_PER_CRASH = 64;
-
-	/**
-	 * Sound answers before the first crash that make up for crashes; few, as a part may
-	 * begin to crash endpoints after a release.
-	 */
-	private static final int MAX_EARLIER_ANSWERS = 2;
-
-	/**
-	 * Sound answers after a crash that peers are told of; more don't change a decision.
-	 */
-	private static final int MAX_LATER_ANSWERS = 16;
-
 	/**
 	 * Time after a crash from which a request counts as sent later; the age of a crash is
 	 * imprecise by the latency of its report, over all hops.
@@ -93,11 +73,11 @@
 
 	private final Listener listener;
 
-	private final Map<String, Crash> crashes = new LinkedHashMap<>();
+	private final Map<String, EndpointCrash> crashes = new LinkedHashMap<>();
 
 	private final Map<ServicePart, Suspicion> suspicions = new HashMap<>();
 
-	private final Map<ServicePart, Block> blocks = new LinkedHashMap<>();
+	private final Map<ServicePart, PromptBlock> blocks = new LinkedHashMap<>();
 
 	private final Map<ServicePart, AnswerCount> answers = new LinkedHashMap<>(16, 0.75f, true) {
 
@@ -135,16 +115,16 @@
 	 * @param parts the shared parts of its prompt
 	 * @return the block, empty if the request may be sent
 	 */
-	public Optional<Block> blockOf(String service, List<PromptPart> parts) {
+	public Optional<PromptBlock> blockOf(String service, List<PromptPart> parts) {
 		if (this.blocks.isEmpty() || parts.isEmpty()) {
 			return Optional.empty();
 		}
 		long now = this.clock.getAsLong();
-		List<Block> blocking = parts.stream()
+		List<PromptBlock> blocking = parts.stream()
 			.map((part) -> this.blocks.get(new ServicePart(service, part)))
 			.filter((block) -> block != null && !block.cleared())
 			.toList();
-		Optional<Block> inForce = blocking.stream()
+		Optional<PromptBlock> inForce = blocking.stream()
 			.filter((block) -> now < block.untilMillis() || !this.trials.mayTry(block, now))
 			.findFirst();
 		if (inForce.isEmpty()) {
@@ -166,14 +146,14 @@
 		return parts.stream().map((part) -> new ServicePart(service, part)).allMatch((part) -> {
 			long earlier = this.crashes.values()
 				.stream()
-				.filter((crash) -> crash.endedMillis < sentMillis && crash.involves(part))
+				.filter((crash) -> crash.endedMillis() < sentMillis && crash.involves(part))
 				.count();
 			return earlier <= answersOf(part) && !isBlocked(part);
 		});
 	}
 
 	private boolean isBlocked(ServicePart part) {
-		Block block = this.blocks.get(part);
+		PromptBlock block = this.blocks.get(part);
 		return block != null && !block.cleared();
 	}
 
@@ -207,7 +187,7 @@
 	}
 
 	private void clear(ServicePart part, long now) {
-		Block cleared = this.blocks.get(part).clear(now);
+		PromptBlock cleared = this.blocks.get(part).clear(now);
 		this.blocks.put(part, cleared);
 		this.newBlocks.add(part);
 		this.listener.cleared(cleared);
@@ -226,11 +206,11 @@
 	 */
 	public boolean lost(String endpoint, String address, String service, List<PromptPart> parts, long sentMillis) {
 		long now = this.clock.getAsLong();
-		Crash known = this.crashes.get(endpoint);
-		Crash crash = (known != null) ? known : new Crash(endpoint, address, service, now);
+		EndpointCrash known = this.crashes.get(endpoint);
+		EndpointCrash crash = (known != null) ? known : new EndpointCrash(endpoint, address, service, now);
 		this.crashes.put(endpoint, crash);
 		boolean changed = parts.stream().filter((part) -> crash.addSuspect(part, sentMillis)).count() > 0;
-		if (crash.confirmed && changed) {
+		if (crash.confirmed() && changed) {
 			countCrash(crash);
 		}
 		discardOldCrashes(now);
@@ -243,10 +223,10 @@
 	 * @param endpoint the incarnation of the endpoint
 	 */
 	public void crashed(String endpoint) {
-		Crash crash = this.crashes.get(endpoint);
-		if (crash != null && !crash.confirmed) {
-			crash.confirmed = true;
-			this.listener.crashed(endpoint, crash.suspects.keySet());
+		EndpointCrash crash = this.crashes.get(endpoint);
+		if (crash != null && !crash.confirmed()) {
+			crash.confirm();
+			this.listener.crashed(endpoint, crash.parts());
 			countCrash(crash);
 			notifyOfNews();
 		}
@@ -257,35 +237,35 @@
 	 * @param endpoint the incarnation of the endpoint
 	 */
 	public void alive(String endpoint) {
-		Crash crash = this.crashes.get(endpoint);
-		if (crash != null && !crash.confirmed) {
+		EndpointCrash crash = this.crashes.get(endpoint);
+		if (crash != null && !crash.confirmed()) {
 			this.crashes.remove(endpoint);
 		}
 	}
 
-	private void countCrash(Crash crash) {
-		this.newCrashes.add(crash.endpoint);
-		for (PromptPart each : crash.suspects.keySet()) {
-			ServicePart part = new ServicePart(crash.service, each);
+	private void countCrash(EndpointCrash crash) {
+		this.newCrashes.add(crash.endpoint());
+		for (ServicePart part : crash.suspects().toList()) {
 			suspect(part, crash);
-			Block block = this.blocks.get(part);
-			if (block != null && !block.cleared() && block.untilMillis() <= crash.endedMillis) {
-				block(part, block.level() + 1, Block.durationMillis(block.level() + 1), block.crashes() + 1);
+			PromptBlock block = this.blocks.get(part);
+			if (block != null && !block.cleared() && block.untilMillis() <= crash.endedMillis()) {
+				block(part, block.level() + 1, PromptBlock.durationMillis(block.level() + 1), block.crashes() + 1);
 			}
 		}
 		blockWorst(crash);
 	}
 
-	private void suspect(ServicePart part, Crash crash) {
+	private void suspect(ServicePart part, EndpointCrash crash) {
 		Suspicion known = this.suspicions.get(part);
-		if (known != null && crash.endedMillis - known.firstCrashMillis <= SEQUENCE_MILLIS) {
-			if (crash.endedMillis >= known.firstCrashMillis - AGE_TOLERANCE_MILLIS) {
-				known.crashes.add(crash);
+		if (known != null && crash.endedMillis() - known.firstCrashMillis() <= Suspicion.SEQUENCE_MILLIS) {
+			if (crash.endedMillis() >= known.firstCrashMillis() - AGE_TOLERANCE_MILLIS) {
+				known.crashes().add(crash);
 			}
 			return;
 		}
 		AnswerCount count = this.answers.get(part);
-		int earlier = Math.min(MAX_EARLIER_ANSWERS, (count != null) ? count.recent(this.clock.getAsLong()) : 0);
+		int earlier = Math.min(Suspicion.MAX_EARLIER_ANSWERS,
+				(count != null) ? count.recent(this.clock.getAsLong()) : 0);
 		if (earlier > 0) {
 			this.newAnswers.add(part);
 		}
@@ -294,10 +274,8 @@
 
 	// Parts that came together in all crashes can't be told apart, so all of them are
 	// blocked, for a short time.
-	private void blockWorst(Crash crash) {
-		Map<ServicePart, Integer> counts = crash.suspects.keySet()
-			.stream()
-			.map((part) -> new ServicePart(crash.service, part))
+	private void blockWorst(EndpointCrash crash) {
+		Map<ServicePart, Integer> counts = crash.suspects()
 			.filter((part) -> !isBlocked(part))
 			.collect(Collectors.toMap((part) -> part, this::unexplainedCrashes));
 		int worst = counts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
@@ -309,48 +287,46 @@
 			.filter((entry) -> entry.getValue() == worst)
 			.map(Map.Entry::getKey)
 			.toList();
-		parts.forEach(
-				(part) -> block(part, 1, (parts.size() > 1) ? Block.AMBIGUOUS_MILLIS : Block.durationMillis(1), worst));
+		parts.forEach((part) -> block(part, 1,
+				(parts.size() > 1) ? PromptBlock.AMBIGUOUS_MILLIS : PromptBlock.durationMillis(1), worst));
 	}
 
 	// The longest sequence of crashes in which each request was sent after the crash
 	// before, as crashes at the same time may have one cause outside the requests.
 	private int unexplainedCrashes(ServicePart part) {
-		Block cleared = this.blocks.get(part);
+		PromptBlock cleared = this.blocks.get(part);
 		Suspicion suspicion = this.suspicions.get(part);
 		long afterMillis = (cleared != null) ? cleared.sinceMillis() : Long.MIN_VALUE;
 		Set<String> addresses = new HashSet<>();
 		int count = 0;
-		if (suspicion.crashes.size() < CRASHES_TO_BLOCK) {
+		if (suspicion.crashes().size() < CRASHES_TO_BLOCK) {
 			return 0;
 		}
-		List<Crash> relevant = suspicion.crashes.stream()
+		List<EndpointCrash> relevant = suspicion.crashes()
+			.stream()
 			.filter((crash) -> !explained(crash, part))
-			.sorted(Comparator.comparingLong((crash) -> crash.endedMillis))
+			.sorted(Comparator.comparingLong((crash) -> crash.endedMillis()))
 			.toList();
-		for (Crash crash : relevant) {
+		for (EndpointCrash crash : relevant) {
 			if (crash.sentMillis(part.part()) > afterMillis) {
 				count++;
-				afterMillis = crash.endedMillis + AGE_TOLERANCE_MILLIS;
-				addresses.add(crash.address);
+				afterMillis = crash.endedMillis() + AGE_TOLERANCE_MILLIS;
+				addresses.add(crash.address());
 			}
 		}
 		return (addresses.size() < MIN_CRASHED_ADDRESSES) ? 0
 				: Math.min(count, MAX_COUNTED_CRASHES) - suspicion.answers();
 	}
 
-	private boolean explained(Crash crash, ServicePart part) {
-		return crash.suspects.keySet()
-			.stream()
-			.map((other) -> new ServicePart(crash.service, other))
-			.anyMatch((other) -> !other.equals(part) && isBlocked(other));
+	private boolean explained(EndpointCrash crash, ServicePart part) {
+		return crash.suspects().anyMatch((other) -> !other.equals(part) && isBlocked(other));
 	}
 
 	private void block(ServicePart part, int level, long durationMillis, int crashCount) {
-		adopt(new Block(part, level, false, this.clock.getAsLong(), durationMillis, crashCount));
+		adopt(new PromptBlock(part, level, false, this.clock.getAsLong(), durationMillis, crashCount));
 	}
 
-	private void adopt(Block block) {
+	private void adopt(PromptBlock block) {
 		this.blocks.remove(block.part());
 		this.blocks.put(block.part(), block);
 		Iterator<ServicePart> eldest = this.blocks.keySet().iterator();
@@ -368,21 +344,21 @@
 	}
 
 	private void discardOldCrashes(long now) {
-		Iterator<Crash> eldest = this.crashes.values().iterator();
+		Iterator<EndpointCrash> eldest = this.crashes.values().iterator();
 		while (eldest.hasNext()) {
-			Crash crash = eldest.next();
-			if (this.crashes.size() > MAX_CRASHES || now - crash.endedMillis > CRASH_LIFETIME_MILLIS) {
+			EndpointCrash crash = eldest.next();
+			if (this.crashes.size() > MAX_CRASHES || now - crash.endedMillis() > CRASH_LIFETIME_MILLIS) {
 				eldest.remove();
-				crash.suspects.keySet().forEach((part) -> withdraw(new ServicePart(crash.service, part), crash));
+				crash.suspects().forEach((part) -> withdraw(part, crash));
 			}
 		}
 	}
 
-	private void withdraw(ServicePart part, Crash crash) {
+	private void withdraw(ServicePart part, EndpointCrash crash) {
 		Suspicion suspicion = this.suspicions.get(part);
 		if (suspicion != null) {
-			suspicion.crashes.remove(crash);
-			if (suspicion.crashes.isEmpty()) {
+			suspicion.crashes().remove(crash);
+			if (suspicion.crashes().isEmpty()) {
 				this.suspicions.remove(part);
 			}
 		}
@@ -399,12 +375,15 @@
 	 * @return the news, empty if there are none
 	 */
 	PeerFrame.CrashNews takeNews() {
-		List<Crash> told = this.newCrashes.stream().map(this.crashes::get).filter((crash) -> crash != null).toList();
+		List<EndpointCrash> told = this.newCrashes.stream()
+			.map(this.crashes::get)
+			.filter((crash) -> crash != null)
+			.toList();
 		// A peer that lacks the answers and blocks would draw other conclusions.
-		told.forEach((crash) -> crash.suspects.keySet().forEach((part) -> {
-			this.newAnswers.add(new ServicePart(crash.service, part));
-			this.newBlocks.add(new ServicePart(crash.service, part));
-		}));
+		told.stream().flatMap(EndpointCrash::suspects).forEach((part) -> {
+			this.newAnswers.add(part);
+			this.newBlocks.add(part);
+		});
 		PeerFrame.CrashNews news = newsOf(told, this.newAnswers, this.newBlocks);
 		this.newCrashes.clear();
 		this.newAnswers.clear();
@@ -418,7 +397,7 @@
 	 */
 	PeerFrame.CrashNews all() {
 		discardOldCrashes(this.clock.getAsLong());
-		return newsOf(this.crashes.values().stream().filter((crash) -> crash.confirmed).toList(),
+		return newsOf(this.crashes.values().stream().filter((crash) -> crash.confirmed()).toList(),
 				this.suspicions.keySet(), this.blocks.keySet());
 	}
 
@@ -429,18 +408,18 @@
 	long digest() {
 		discardOldCrashes(this.clock.getAsLong());
 		long digest = 0;
-		for (Crash crash : this.crashes.values()) {
-			if (crash.confirmed) {
-				digest += 31L * crash.endpoint.hashCode() + crash.suspects.keySet().hashCode();
+		for (EndpointCrash crash : this.crashes.values()) {
+			if (crash.confirmed()) {
+				digest += 31L * crash.endpoint().hashCode() + crash.parts().hashCode();
 			}
 		}
-		for (Block block : this.blocks.values()) {
+		for (PromptBlock block : this.blocks.values()) {
 			digest += 17L * block.part().hashCode() * (2 * block.level() + (block.cleared() ? 1 : 0));
 		}
 		return digest;
 	}
 
-	private PeerFrame.CrashNews newsOf(Collection<Crash> someCrashes, Collection<ServicePart> someAnswers,
+	private PeerFrame.CrashNews newsOf(Collection<EndpointCrash> someCrashes, Collection<ServicePart> someAnswers,
 			Collection<ServicePart> someBlocks) {
 		long now = this.clock.getAsLong();
 		return new PeerFrame.CrashNews(someCrashes.stream().map((crash) -> crash.report(now)).toList(),
@@ -462,34 +441,34 @@
 	 */
 	void merge(PeerFrame.CrashNews news) {
 		long now = this.clock.getAsLong();
-		news.blocks().forEach((report) -> merge(Block.of(report, now)));
-		List<Crash> changed = new ArrayList<>();
+		news.blocks().forEach((report) -> merge(PromptBlock.of(report, now)));
+		List<EndpointCrash> changed = new ArrayList<>();
 		news.crashes()
 			.stream()
 			.filter((report) -> report.endedMillisAgo() <= CRASH_LIFETIME_MILLIS)
 			.forEach((report) -> merge(report, now).ifPresent(changed::add));
-		changed.forEach((crash) -> crash.suspects.keySet()
-			.forEach((part) -> suspect(new ServicePart(crash.service, part), crash)));
+		changed.forEach((crash) -> crash.suspects().forEach((part) -> suspect(part, crash)));
 		news.soundAnswers().forEach(this::merge);
 		changed.forEach(this::countCrash);
 		discardOldCrashes(now);
 		notifyOfNews();
 	}
 
-	private void merge(Block received) {
-		Block known = this.blocks.get(received.part());
+	private void merge(PromptBlock received) {
+		PromptBlock known = this.blocks.get(received.part());
 		if (known == null || received.supersedes(known)) {
 			adopt(received);
 		}
 	}
 
-	private Optional<Crash> merge(PeerFrame.Crash report, long now) {
-		Crash crash = this.crashes.computeIfAbsent(report.endpoint(), (absent) -> new Crash(report.endpoint(),
-				report.address(), report.service(), now - report.endedMillisAgo()));
-		boolean changed = !crash.confirmed;
-		crash.confirmed = true;
+	private Optional<EndpointCrash> merge(PeerFrame.Crash report, long now) {
+		EndpointCrash crash = this.crashes.computeIfAbsent(report.endpoint(),
+				(absent) -> new EndpointCrash(report.endpoint(), report.address(), report.service(),
+						now - report.endedMillisAgo()));
+		boolean changed = !crash.confirmed();
+		crash.confirm();
 		for (PeerFrame.CrashSuspect suspect : report.suspects()) {
-			changed |= crash.addSuspect(new PromptPart(suspect.part()), crash.endedMillis - suspect.waitedMillis());
+			changed |= crash.addSuspect(new PromptPart(suspect.part()), crash.endedMillis() - suspect.waitedMillis());
 		}
 		return changed ? Optional.of(crash) : Optional.empty();
 	}
@@ -547,13 +526,13 @@
 		 * A part is blocked.
 		 * @param block the block
 		 */
-		void blocked(Block block);
+		void blocked(PromptBlock block);
 
 		/**
 		 * A part is no longer blocked.
 		 * @param block the block that ended
 		 */
-		void cleared(Block block);
+		void cleared(PromptBlock block);
 
 	}
 
@@ -568,83 +547,13 @@
 		 * @param nowMillis the current time, in milliseconds
 		 * @return {@code true} if no other process may, and this one has not
 		 */
-		boolean mayTry(Block block, long nowMillis);
+		boolean mayTry(PromptBlock block, long nowMillis);
 
 		/**
 		 * Records that this process tries a part again.
 		 * @param block the expired block
 		 */
-		void tried(Block block);
-
-	}
-
-	/**
-	 * A part of a prompt at a service.
-	 *
-	 * @param service the service's name
-	 * @param part the part
-	 */
-	public record ServicePart(String service, PromptPart part) {
-
-	}
-
-	/**
-	 * The sound answers to requests with a suspected part: before the first crash, as
-	 * seen by the process that saw most of them, and of requests sent after it, by all.
-	 */
-	private static final class Suspicion {
-
-		private final long firstCrashMillis;
-
-		private final Set<Crash> crashes = new HashSet<>();
-
-		private final Map<Integer, Integer> laterByProcess = new HashMap<>();
-
-		private int earlier;
-
-		private Suspicion(int earlier, Crash firstCrash) {
-			this.earlier = earlier;
-			this.firstCrashMillis = firstCrash.endedMillis;
-			this.crashes.add(firstCrash);
-		}
-
-		private int answers() {
-			return this.earlier + this.laterByProcess.values().stream().mapToInt(Integer::intValue).sum();
-		}
-
-		private boolean addAnswer(int process, long sentMillis) {
-			boolean counts = sentMillis > this.firstCrashMillis && answers() < MAX_LATER_ANSWERS;
-			if (counts) {
-				this.laterByProcess.merge(process, 1, Integer::sum);
-			}
-			return counts;
-		}
-
-		private boolean merge(PeerFrame.SoundAnswers sound, long nowMillis) {
-			long otherFirstMillis = nowMillis - sound.firstCrashMillisAgo();
-			if (Math.abs(otherFirstMillis - this.firstCrashMillis) > SEQUENCE_MILLIS / 2) {
-				return false;
-			}
-			boolean changed = sound.earlier() > this.earlier;
-			this.earlier = Math.max(this.earlier, Math.min(MAX_EARLIER_ANSWERS, sound.earlier()));
-			for (PeerFrame.LaterAnswers later : sound.later()) {
-				int known = this.laterByProcess.getOrDefault(later.process(), 0);
-				if (later.answers() > known && answers() < MAX_LATER_ANSWERS) {
-					this.laterByProcess.put(later.process(), later.answers());
-					changed = true;
-				}
-			}
-			return changed;
-		}
-
-		private PeerFrame.SoundAnswers report(ServicePart part, long nowMillis) {
-			return new PeerFrame.SoundAnswers(part.service(), part.part().id(), nowMillis - this.firstCrashMillis,
-					this.earlier,
-					this.laterByProcess.entrySet()
-						.stream()
-						.map((entry) -> new PeerFrame.LaterAnswers(entry.getKey(), entry.getValue()))
-						.toList());
-		}
+		void tried(PromptBlock block);
 
 	}
 
@@ -668,114 +577,4 @@
 
 	}
 
-	/**
-	 * The end of an endpoint while responses had not begun.
-	 */
-	private static final class Crash {
-
-		private final String endpoint;
-
-		private final String address;
-
-		private final String service;
-
-		private final long endedMillis;
-
-		private final Map<PromptPart, Long> suspects = new LinkedHashMap<>();
-
-		private boolean confirmed;
-
-		private Crash(String endpoint, String address, String service, long endedMillis) {
-			this.endpoint = endpoint;
-			this.address = address;
-			this.service = service;
-			this.endedMillis = endedMillis;
-		}
-
-		private boolean addSuspect(PromptPart part, long sentMillis) {
-			if (this.suspects.size() >= MAX_SUSPECTS_PER_CRASH && !this.suspects.containsKey(part)) {
-				return false;
-			}
-			Long known = this.suspects.get(part);
-			long sent = Math.min(sentMillis, this.endedMillis);
-			this.suspects.put(part, (known != null) ? Math.max(known, sent) : sent);
-			return known == null;
-		}
-
-		private long sentMillis(PromptPart part) {
-			return this.suspects.get(part);
-		}
-
-		private boolean involves(ServicePart part) {
-			return this.service.equals(part.service()) && this.suspects.containsKey(part.part());
-		}
-
-		private PeerFrame.Crash report(long nowMillis) {
-			return new PeerFrame.Crash(this.endpoint, this.address, this.service, nowMillis - this.endedMillis,
-					this.suspects.entrySet()
-						.stream()
-						.map((entry) -> new PeerFrame.CrashSuspect(entry.getKey().id(),
-								this.endedMillis - entry.getValue()))
-						.toList());
-		}
-
-	}
-
-	/**
-	 * A part that is not sent to endpoints, or was not.
-	 *
-	 * @param part the part
-	 * @param level how often it was blocked, 1 at first
-	 * @param cleared whether a later answer was sound
-	 * @param sinceMillis the time of the last change, in milliseconds
-	 * @param durationMillis the time after which the part is tried again, in milliseconds
-	 * @param crashes the endpoints that crashed
-	 */
-	public record Block(ServicePart part, int level, boolean cleared, long sinceMillis, long durationMillis,
-			int crashes) {
-
-		/** Duration of a block of parts that only ever came together. */
-		static final long AMBIGUOUS_MILLIS = 15_000;
-
-		private static final long FIRST_MILLIS = 600_000;
-
-		private static final int MAX_DOUBLINGS = 7;
-
-		/**
-		 * Returns the duration of a block, which grows with each trial that failed.
-		 * @param level how often the part was blocked
-		 * @return the duration in milliseconds
-		 */
-		static long durationMillis(int level) {
-			return FIRST_MILLIS << Math.min(MAX_DOUBLINGS, 2 * (level - 1));
-		}
-
-		/**
-		 * Returns when the part may be tried again.
-		 * @return the time in milliseconds
-		 */
-		public long untilMillis() {
-			return this.sinceMillis + this.durationMillis;
-		}
-
-		private Block clear(long nowMillis) {
-			return new Block(this.part, this.level, true, nowMillis, 0, this.crashes);
-		}
-
-		private boolean supersedes(Block other) {
-			return this.level > other.level || (this.level == other.level && this.cleared && !other.cleared);
-		}
-
-		private PeerFrame.CrashBlock report(long nowMillis) {
-			return new PeerFrame.CrashBlock(this.part.service(), this.part.part().id(), this.level, this.cleared,
-					nowMillis - this.sinceMillis, this.durationMillis, this.crashes);
-		}
-
-		private static Block of(PeerFrame.CrashBlock report, long nowMillis) {
-			return new Block(new ServicePart(report.service(), new PromptPart(report.part())), report.level(),
-					report.cleared(), nowMillis - report.sinceMillisAgo(), report.durationMillis(), report.crashes());
-		}
-
-	}
-
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetGossip.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetGossip.java
@@ -38,7 +38,7 @@
 
 	private final Sender sender;
 
-	private final Map<CrashEvidence.ServicePart, Integer> triedLevels = new HashMap<>();
+	private final Map<ServicePart, Integer> triedLevels = new HashMap<>();
 
 	private CrashEvidence evidence;
 
@@ -75,10 +75,14 @@
 	 * @param newMembers the registered processes
 	 */
 	void update(Collection<Member> newMembers) {
-		boolean first = this.neighbours.isEmpty();
-		this.members = newMembers.stream()
+		List<Member> sorted = newMembers.stream()
 			.sorted(Comparator.comparing(Member::zone).thenComparing(Member::name))
 			.toList();
+		if (sorted.equals(this.members)) {
+			return;
+		}
+		boolean first = this.neighbours.isEmpty();
+		this.members = sorted;
 		List<Member> others = IntStream.range(0, this.members.size())
 			.filter((i) -> this.members.get(i).name().equals(this.self))
 			.mapToObj(this::membersAfter)
@@ -163,7 +167,7 @@
 	}
 
 	@Override
-	public boolean mayTry(CrashEvidence.Block block, long nowMillis) {
+	public boolean mayTry(PromptBlock block, long nowMillis) {
 		long turn = (nowMillis - block.untilMillis()) / TRIAL_TURN_MILLIS;
 		return !this.triedLevels.getOrDefault(block.part(), 0).equals(block.level()) && this.members.stream()
 			.max(Comparator.comparingInt((member) -> rank(member, block, turn)))
@@ -171,14 +175,14 @@
 			.isPresent();
 	}
 
-	private static int rank(Member member, CrashEvidence.Block block, long turn) {
+	private static int rank(Member member, PromptBlock block, long turn) {
 		int hash = 31 * (31 * member.name().hashCode() + block.part().hashCode()) + (int) turn;
 		hash *= 0x9E3779B1;
 		return hash ^ (hash >>> 15);
 	}
 
 	@Override
-	public void tried(CrashEvidence.Block block) {
+	public void tried(PromptBlock block) {
 		if (this.triedLevels.size() >= MAX_TRIED) {
 			this.triedLevels.clear();
 		}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -382,17 +382,17 @@
 		}
 
 		@Override
-		public void blocked(CrashEvidence.Block block) {
+		public void blocked(PromptBlock block) {
 			record(LogEvent.PROMPT_PART_BLOCKED, block);
 			Gateway.this.dispatcher.partBlocked(block);
 		}
 
 		@Override
-		public void cleared(CrashEvidence.Block block) {
+		public void cleared(PromptBlock block) {
 			record(LogEvent.PROMPT_PART_CLEARED, block);
 		}
 
-		private void record(LogEvent event, CrashEvidence.Block block) {
+		private void record(LogEvent event, PromptBlock block) {
 			Gateway.this.log.record(event, "service", block.part().service(), "part", block.part().part(), "crashes",
 					block.crashes(), "level", block.level(), "age_ms", EventLoop.nowMillis() - block.sinceMillis(),
 					"duration_ms", block.durationMillis());
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
@@ -23,6 +23,7 @@
 import org.monsoonvalve.gateway.process.DecisionLog;
 import org.monsoonvalve.gateway.process.EndpointLimits;
 import org.monsoonvalve.gateway.process.GatewaySettings;
+import org.monsoonvalve.gateway.process.PromptBlock;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.ServiceProfile;
 
@@ -172,7 +173,7 @@
 	 * blocked, as it would crash their endpoints.
 	 * @param block the block
 	 */
-	public void partBlocked(CrashEvidence.Block block) {
+	public void partBlocked(PromptBlock block) {
 		List.copyOf(this.exchanges).forEach((exchange) -> exchange.partBlocked(block));
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -13,7 +13,7 @@
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 import org.monsoonvalve.gateway.connection.Endpoint;
-import org.monsoonvalve.gateway.process.CrashEvidence;
+import org.monsoonvalve.gateway.process.PromptBlock;
 import org.monsoonvalve.gateway.version.Route;
 
 /**
@@ -89,7 +89,7 @@
 	}
 
 	private void sendNext(String reason) {
-		Optional<CrashEvidence.Block> block = this.dispatcher.crashes().blockOf(serviceName(), this.promptParts);
+		Optional<PromptBlock> block = this.dispatcher.crashes().blockOf(serviceName(), this.promptParts);
 		if (block.isPresent()) {
 			this.dispatcher.metrics().promptBlocked();
 			fail(new PromptBlockedException(block.get(), this.dispatcher.crashes().nowMillis()));
@@ -166,7 +166,7 @@
 	}
 
 	// Ends a request that would crash its endpoint if its response began.
-	void partBlocked(CrashEvidence.Block block) {
+	void partBlocked(PromptBlock block) {
 		boolean waiting = !this.done && this.currentAttempt != null && !this.currentAttempt.sound();
 		if (waiting && serviceName().equals(block.part().service()) && this.promptParts.contains(block.part().part())) {
 			fail(new PromptBlockedException(block, this.dispatcher.crashes().nowMillis()));
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/PromptBlockedException.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/PromptBlockedException.java
@@ -2,7 +2,7 @@
 
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
-import org.monsoonvalve.gateway.process.CrashEvidence;
+import org.monsoonvalve.gateway.process.PromptBlock;
 
 /**
  * Thrown when a request is not sent because a part of its prompt crashed endpoints.
@@ -22,7 +22,7 @@
 	 * @param block the block
 	 * @param nowMillis the time of the block's clock, in milliseconds
 	 */
-	PromptBlockedException(CrashEvidence.Block block, long nowMillis) {
+	PromptBlockedException(PromptBlock block, long nowMillis) {
 		super(FailureCode.PROMPT_BLOCKED, "part " + block.part().part() + " of the prompt crashed " + block.crashes()
 				+ " endpoints; blocked since " + (nowMillis - block.sinceMillis()) + " ms");
 		this.part = block.part().part();
