Name the clock of blocks in its doc comment

Cause: on reading the diff, "measured by" read as a note on how a value came about. Change: a doc comment only; the compiled code is the same.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/CrashEvidence.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/CrashEvidence.java
@@ -482,7 +482,7 @@
 	}
 
 	/**
-	 * Returns the time that blocks are measured by.
+	 * Returns the current time of the clock that blocks refer to.
 	 * @return the time in milliseconds
 	 */
 	public long nowMillis() {
