--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetGossip.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetGossip.java
@@ -148,7 +148,7 @@
 	/**
 	 * Handles a frame of a peer.
 	 * @param frame the frame
-	 * @return the reply, empty if the frame is not about crashes
+	 * @return the reply, empty if the frame is about neither crashes nor limits
 	 */
 	Optional<PeerFrame> handle(PeerFrame frame) {
 		if (frame instanceof PeerFrame.CrashNews news) {
