State the era of the store with its answers, and log it

Cause not looked for yet.

Change: positions of the store are a value type of era and revision; the client takes the era from each response. FACTS_READ states the position read, the one before and whether it was applied, STORE_ERA each later era. No decision changes: all positions are still compared by their revisions.

--- a/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/GroupReconciler.java
+++ b/monsoonvalve-controller/src/main/java/org/monsoonvalve/controller/process/GroupReconciler.java
@@ -19,6 +19,8 @@
 import org.monsoonvalve.core.connection.EngineOrder;
 import org.monsoonvalve.core.connection.HttpRequest;
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StoreLease;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.Codec;
 import org.monsoonvalve.core.process.ElapsedClock;
 import org.monsoonvalve.core.process.EventLog;
@@ -127,7 +129,7 @@
 			return false;
 		}
 		PlatformStore.WriteResult result = this.node.platform()
-			.write(this.key.path(), baseRevision, value, 0)
+			.write(this.key.path(), StorePosition.of(baseRevision), value, StoreLease.NONE)
 			.orTimeout(PLATFORM_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
 			.join();
 		if (result.succeeded()) {
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EtcdPlatformStore.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EtcdPlatformStore.java
@@ -62,42 +62,42 @@
 	}
 
 	@Override
-	public CompletableFuture<WriteResult> write(String key, long expectedRevision, byte[] value, long leaseId) {
+	public CompletableFuture<WriteResult> write(String key, StorePosition expected, byte[] value, StoreLease lease) {
 		ObjectNode put = Codec.JSON.object();
 		put.put("key", encode(key));
 		put.put("value", Base64.getEncoder().encodeToString(value));
-		if (leaseId != 0) {
-			put.put("lease", String.valueOf(leaseId));
+		if (!lease.equals(StoreLease.NONE)) {
+			put.put("lease", String.valueOf(lease.id()));
 		}
-		return transaction(key, expectedRevision, "request_put", put);
+		return transaction(key, expected.revision(), "request_put", put);
 	}
 
 	@Override
-	public CompletableFuture<WriteResult> delete(String key, long expectedRevision) {
+	public CompletableFuture<WriteResult> delete(String key, StorePosition expected) {
 		ObjectNode delete = Codec.JSON.object();
 		delete.put("key", encode(key));
-		return transaction(key, expectedRevision, "request_delete_range", delete);
+		return transaction(key, expected.revision(), "request_delete_range", delete);
 	}
 
 	@Override
-	public CompletableFuture<Long> grantLease(long ttlSeconds) {
+	public CompletableFuture<StoreLease> grantLease(long ttlSeconds) {
 		ObjectNode grant = Codec.JSON.object();
 		grant.put("TTL", String.valueOf(ttlSeconds));
-		return post("/v3/lease/grant", grant).thenApply((response) -> response.path("ID").asLong());
+		return post("/v3/lease/grant", grant).thenApply((response) -> StoreLease.of(response.path("ID").asLong()));
 	}
 
 	@Override
-	public CompletableFuture<Boolean> renewLease(long leaseId) {
+	public CompletableFuture<Boolean> renewLease(StoreLease lease) {
 		ObjectNode renewal = Codec.JSON.object();
-		renewal.put("ID", String.valueOf(leaseId));
+		renewal.put("ID", String.valueOf(lease.id()));
 		return post("/v3/lease/keepalive", renewal)
 			.thenApply((response) -> response.path("result").path("TTL").asLong() > 0);
 	}
 
 	@Override
-	public CompletableFuture<Void> revokeLease(long leaseId) {
+	public CompletableFuture<Void> revokeLease(StoreLease lease) {
 		ObjectNode revocation = Codec.JSON.object();
-		revocation.put("ID", String.valueOf(leaseId));
+		revocation.put("ID", String.valueOf(lease.id()));
 		return post("/v3/lease/revoke", revocation).thenAccept((response) -> {
 		});
 	}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
@@ -1,7 +1,7 @@
 package org.monsoonvalve.core.process;
 
 import java.nio.charset.StandardCharsets;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -11,6 +11,8 @@
 import java.util.function.Consumer;
 
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StoreLease;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 
@@ -81,7 +83,7 @@
 			this.term.compareAndSet(held, null);
 		}
 		if (this.term.get() == null && mayAcquire) {
-			claimableRevision().ifPresent(this::campaign);
+			claimablePosition().ifPresent(this::campaign);
 		}
 	}
 
@@ -120,16 +122,16 @@
 	public void resign() {
 		Term held = this.term.getAndSet(null);
 		if (held != null) {
-			revoke(held.leaseId());
+			revoke(held.lease());
 		}
 	}
 
 	private boolean renew(Term held) {
 		ElapsedClock.Reading start = this.clock.now();
 		try {
-			if (await(this.platform.renewLease(held.leaseId()))) {
+			if (await(this.platform.renewLease(held.lease()))) {
 				boolean continuous = this.clock.elapsedMillis(held.renewed()) < RENEWAL_VALID_MILLIS;
-				this.term.compareAndSet(held, new Term(held.leaseId(), continuous ? held.acquired() : start, start));
+				this.term.compareAndSet(held, new Term(held.lease(), continuous ? held.acquired() : start, start));
 				return true;
 			}
 			return false;
@@ -142,56 +144,56 @@
 		}
 	}
 
-	// Returns the revision that a claim must expect: 0 if the key does not exist, the
-	// key's revision if an earlier process with this identifier holds it, empty while
+	// Returns the position that a claim must expect: none if the key does not exist, the
+	// key's position if an earlier process with this identifier holds it, empty while
 	// a process with another identifier holds it.
-	private OptionalLong claimableRevision() {
+	private Optional<StorePosition> claimablePosition() {
 		try {
 			return await(this.platform.read(this.key, 0)).entries()
 				.stream()
 				.filter((entry) -> entry.key().equals(this.key))
 				.findFirst()
 				.map((entry) -> isPredecessor(new String(entry.value(), StandardCharsets.UTF_8))
-						? OptionalLong.of(entry.revision()) : OptionalLong.empty())
-				.orElse(OptionalLong.of(0));
+						? Optional.of(entry.position()) : Optional.<StorePosition>empty())
+				.orElse(Optional.of(StorePosition.NONE));
 		}
 		catch (ServingException ex) {
 			this.onFailure.accept(ex);
-			return OptionalLong.empty();
+			return Optional.empty();
 		}
 	}
 
-	private void campaign(long expectedRevision) {
+	private void campaign(StorePosition expected) {
 		ElapsedClock.Reading start = this.clock.now();
-		long leaseId;
+		StoreLease lease;
 		try {
-			leaseId = await(this.platform.grantLease(LEASE_TTL_SECONDS));
+			lease = await(this.platform.grantLease(LEASE_TTL_SECONDS));
 		}
 		catch (ServingException ex) {
 			this.onFailure.accept(ex);
 			return;
 		}
-		String value = this.holderId + "/" + leaseId;
-		if (claim(value, expectedRevision, leaseId)) {
-			this.term.set(new Term(leaseId, this.clock.now(), start));
+		String value = this.holderId + "/" + lease.id();
+		if (claim(value, expected, lease)) {
+			this.term.set(new Term(lease, this.clock.now(), start));
 		}
 		else {
-			revoke(leaseId);
+			revoke(lease);
 		}
 	}
 
-	private void revoke(long leaseId) {
-		this.platform.revokeLease(leaseId).whenComplete((done, failure) -> {
+	private void revoke(StoreLease lease) {
+		this.platform.revokeLease(lease).whenComplete((done, failure) -> {
 			if (failure != null) {
 				this.onFailure.accept(ServingException.from(failure));
 			}
 		});
 	}
 
-	private boolean claim(String value, long expectedRevision, long leaseId) {
+	private boolean claim(String value, StorePosition expected, StoreLease lease) {
 		byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
 		try {
-			PlatformStore.WriteResult result = await(this.platform.write(this.key, expectedRevision, bytes, leaseId));
+			PlatformStore.WriteResult result = await(this.platform.write(this.key, expected, bytes, lease));
 			return result.succeeded();
 		}
 		catch (ServingException ex) {
@@ -219,7 +221,7 @@
 	}
 
 	// renewed is when the last successful renewal, or the grant, was started.
-	private record Term(long leaseId, ElapsedClock.Reading acquired, ElapsedClock.Reading renewed) {
+	private record Term(StoreLease lease, ElapsedClock.Reading acquired, ElapsedClock.Reading renewed) {
 
 	}
 
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
@@ -127,6 +127,9 @@
 	/** An endpoint is suspected, or no longer suspected, of having failed. */
 	ENDPOINT_SUSPECTED(6108, Level.WARN, "an endpoint is suspected of having failed"),
 
+	/** The platform store stated a later era than before. */
+	STORE_ERA(6109, Level.WARN, "the platform store is in a later era"),
+
 	/** A request was rejected. */
 	REQUEST_REFUSED(6201, Level.INFO, "a request was refused"),
 
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/FakePlatformStore.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/FakePlatformStore.java
@@ -10,6 +10,8 @@
 import java.util.function.Supplier;
 
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StoreLease;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 
@@ -75,24 +77,24 @@
 	}
 
 	@Override
-	public CompletableFuture<WriteResult> write(String key, long expectedRevision, byte[] value, long leaseId) {
+	public CompletableFuture<WriteResult> write(String key, StorePosition expected, byte[] value, StoreLease lease) {
 		return respond(true, () -> {
 			Entry present = this.entries.get(key);
-			if (((present != null) ? present.revision() : 0) != expectedRevision) {
+			if (((present != null) ? present.revision() : 0) != expected.revision()) {
 				return new WriteResult(false, this.revision, present);
 			}
 			this.revision++;
 			this.entries.put(key, new Entry(key, this.revision, value));
-			this.leaseByKey.put(key, leaseId);
+			this.leaseByKey.put(key, lease.id());
 			return new WriteResult(true, this.revision, null);
 		});
 	}
 
 	@Override
-	public CompletableFuture<WriteResult> delete(String key, long expectedRevision) {
+	public CompletableFuture<WriteResult> delete(String key, StorePosition expected) {
 		return respond(true, () -> {
 			Entry present = this.entries.get(key);
-			boolean matches = present != null && present.revision() == expectedRevision;
+			boolean matches = present != null && present.revision() == expected.revision();
 			if (matches) {
 				this.revision++;
 				this.entries.remove(key);
@@ -102,23 +104,23 @@
 	}
 
 	@Override
-	public CompletableFuture<Long> grantLease(long ttlSeconds) {
+	public CompletableFuture<StoreLease> grantLease(long ttlSeconds) {
 		return respond(true, () -> {
 			long id = this.leases.size() + 1L + this.revision * 1000;
 			this.leases.add(id);
-			return id;
+			return StoreLease.of(id);
 		});
 	}
 
 	@Override
-	public CompletableFuture<Boolean> renewLease(long leaseId) {
-		return respond(true, () -> this.leases.contains(leaseId));
+	public CompletableFuture<Boolean> renewLease(StoreLease lease) {
+		return respond(true, () -> this.leases.contains(lease.id()));
 	}
 
 	@Override
-	public CompletableFuture<Void> revokeLease(long leaseId) {
+	public CompletableFuture<Void> revokeLease(StoreLease lease) {
 		return respond(true, () -> {
-			expireLease(leaseId);
+			expireLease(lease.id());
 			return null;
 		});
 	}
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/connection/Slots.java
@@ -12,6 +12,8 @@
 import org.monsoonvalve.core.connection.EndpointStatus;
 import org.monsoonvalve.core.connection.PeerFrame;
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StoreLease;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.EventLog;
 import org.monsoonvalve.core.process.LeaseElection;
 import org.monsoonvalve.core.process.LogEvent;
@@ -203,19 +205,25 @@
 		this.node.platform().read(this.markerKey, 0).thenCompose((snapshot) -> {
 			Optional<PlatformStore.Entry> marker = snapshot.entries().stream().findFirst();
 			boolean clean = marker.isEmpty() || Arrays.equals(marker.get().value(), CLEAN);
-			long revision = marker.map(PlatformStore.Entry::revision).orElse(0L);
-			return this.node.platform().write(this.markerKey, revision, ISSUING, 0).thenAccept((written) -> {
-				if (written.succeeded()) {
-					this.takenOver.set(clean);
-				}
-			});
+			StorePosition position = marker.map(PlatformStore.Entry::position).orElse(StorePosition.NONE);
+			return this.node.platform()
+				.write(this.markerKey, position, ISSUING, StoreLease.NONE)
+				.thenAccept((written) -> {
+					if (written.succeeded()) {
+						this.takenOver.set(clean);
+					}
+				});
 		}).exceptionally((failure) -> null);
 	}
 
 	private CompletableFuture<Void> markClean() {
 		return this.node.platform().read(this.markerKey, 0).thenCompose((snapshot) -> {
-			long revision = snapshot.entries().stream().findFirst().map(PlatformStore.Entry::revision).orElse(0L);
-			return this.node.platform().write(this.markerKey, revision, CLEAN, 0);
+			StorePosition position = snapshot.entries()
+				.stream()
+				.findFirst()
+				.map(PlatformStore.Entry::position)
+				.orElse(StorePosition.NONE);
+			return this.node.platform().write(this.markerKey, position, CLEAN, StoreLease.NONE);
 		}).handle((written, failure) -> null);
 	}
 
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/process/DocumentWriter.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/process/DocumentWriter.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StoreLease;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.EventLog;
 import org.monsoonvalve.core.process.LogEvent;
 import org.monsoonvalve.core.process.Node;
@@ -63,19 +65,22 @@
 
 	private CompletableFuture<Outcome> put(DocumentKey key, Envelope.Change change, String text, Envelope envelope) {
 		byte[] value = envelope.encode();
-		return this.node.platform().write(key.path(), change.baseRevision(), value, 0).handle((result, failure) -> {
-			if (failure != null) {
-				return readBack(key, change, text, READ_BACKS);
-			}
-			if (result.succeeded()) {
-				return CompletableFuture
-					.completedFuture(accepted(new VersionedDocument(key, result.revision(), value), change));
-			}
-			Optional<VersionedDocument> winner = Optional.ofNullable(result.current())
-				.map((entry) -> document(key, entry));
-			return CompletableFuture.completedFuture(winner.flatMap((document) -> settled(document, change, text))
-				.orElseGet(() -> conflict(key, winner, change, text)));
-		}).thenCompose((next) -> next);
+		return this.node.platform()
+			.write(key.path(), StorePosition.of(change.baseRevision()), value, StoreLease.NONE)
+			.handle((result, failure) -> {
+				if (failure != null) {
+					return readBack(key, change, text, READ_BACKS);
+				}
+				if (result.succeeded()) {
+					return CompletableFuture
+						.completedFuture(accepted(new VersionedDocument(key, result.revision(), value), change));
+				}
+				Optional<VersionedDocument> winner = Optional.ofNullable(result.current())
+					.map((entry) -> document(key, entry));
+				return CompletableFuture.completedFuture(winner.flatMap((document) -> settled(document, change, text))
+					.orElseGet(() -> conflict(key, winner, change, text)));
+			})
+			.thenCompose((next) -> next);
 	}
 
 	private CompletableFuture<Outcome> readBack(DocumentKey key, Envelope.Change change, String text, int attempts) {
--- a/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/Claims.java
+++ b/monsoonvalve-entry/src/main/java/org/monsoonvalve/entry/request/Claims.java
@@ -11,6 +11,8 @@
 import org.monsoonvalve.core.connection.Headers;
 import org.monsoonvalve.core.connection.HttpResponse;
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StoreLease;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.Codec;
 import org.monsoonvalve.core.process.ElapsedClock;
 import org.monsoonvalve.core.process.Node;
@@ -69,7 +71,7 @@
 		String key = PREFIX + workspace + "/" + DigestUtils.sha256Hex(idempotencyKey);
 		String claimId = UUID.randomUUID().toString();
 		byte[] value = Codec.JSON.encode(new Stored(claimId, fingerprint, Stored.CLAIMED, 0, "", null));
-		return leaseId().thenCompose((leaseId) -> this.node.platform().write(key, 0, value, leaseId))
+		return sharedLease().thenCompose((lease) -> this.node.platform().write(key, StorePosition.NONE, value, lease))
 			.handle((result, failure) -> {
 				if (failure != null) {
 					return readBack(key, claimId, fingerprint, READ_BACKS);
@@ -91,9 +93,9 @@
 		byte[] body = (reply.body().length <= MAX_KEPT_BODY_BYTES) ? reply.body() : new byte[0];
 		Stored outcome = new Stored(claim.claimId(), claim.fingerprint(), Stored.DONE, reply.status(),
 				reply.headers().get("Content-Type").orElse(""), body);
-		return leaseId()
-			.thenCompose((leaseId) -> this.node.platform()
-				.write(claim.key(), claim.revision(), Codec.JSON.encode(outcome), leaseId))
+		return sharedLease()
+			.thenCompose((sharedLease) -> this.node.platform()
+				.write(claim.key(), StorePosition.of(claim.revision()), Codec.JSON.encode(outcome), sharedLease))
 			.handle((written, failure) -> null);
 	}
 
@@ -103,18 +105,20 @@
 	 * @return completed when it was given up, or could not be
 	 */
 	public CompletableFuture<Void> abandon(Claim claim) {
-		return this.node.platform().delete(claim.key(), claim.revision()).handle((deleted, failure) -> null);
+		return this.node.platform()
+			.delete(claim.key(), StorePosition.of(claim.revision()))
+			.handle((deleted, failure) -> null);
 	}
 
-	private CompletableFuture<Long> leaseId() {
+	private CompletableFuture<StoreLease> sharedLease() {
 		SharedLease shared = this.lease.get();
 		if (shared != null && this.node.clock().elapsedMillis(shared.granted()) < LEASE_REUSE_MILLIS) {
-			return CompletableFuture.completedFuture(shared.id());
+			return CompletableFuture.completedFuture(shared.lease());
 		}
 		ElapsedClock.Reading now = this.node.clock().now();
-		return this.node.platform().grantLease(LEASE_SECONDS).thenApply((id) -> {
-			this.lease.set(new SharedLease(id, now));
-			return id;
+		return this.node.platform().grantLease(LEASE_SECONDS).thenApply((granted) -> {
+			this.lease.set(new SharedLease(granted, now));
+			return granted;
 		});
 	}
 
@@ -225,7 +229,7 @@
 
 	}
 
-	private record SharedLease(long id, ElapsedClock.Reading granted) {
+	private record SharedLease(StoreLease lease, ElapsedClock.Reading granted) {
 
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -136,6 +137,8 @@
 
 	private final AtomicReference<GatewaySettings> settings;
 
+	private final AtomicLong storeEra = new AtomicLong();
+
 	private volatile boolean draining;
 
 	private volatile int maxProcessesSeen;
@@ -147,7 +150,8 @@
 		this.loop = EventLoop
 			.start((failure) -> log.record(LogEvent.TASK_FAILED, "task", "event loop", "reason", failure.toString()));
 		HttpClient client = HttpClient.start(this.loop, CONNECT_TIMEOUT_MILLIS);
-		WatchableStore store = platform.store(client, settings, (name) -> this.registry.counter("store." + name).inc());
+		WatchableStore store = platform.store(client, settings, (name) -> this.registry.counter("store." + name).inc(),
+				this::storeAnsweredIn);
 		EngineControl engines = platform.engines(client, (name) -> this.registry.counter("orders." + name).inc());
 		this.endpoints = new EndpointSet(settings.zone(),
 				(record) -> new Endpoint(record, client, this.registry.counter("endpoint_connections")::inc), log);
@@ -176,6 +180,7 @@
 		this.callers = HttpServer.start(this.loop, settings.callers(), HTTP_LIMITS, this.dispatcher::accept);
 		this.registry.register("prompt_parts_blocked", (Gauge<Integer>) this.crashes::blockedParts);
 		this.registry.register("endpoints_limited", (Gauge<Integer>) this.limits::size);
+		this.registry.register("store_era", (Gauge<Long>) this.storeEra::get);
 		this.registry.register("view_revision", (Gauge<Long>) () -> this.view.get().revision());
 		this.registry.register("requests_in_progress", (Gauge<Integer>) this.dispatcher::inProgress);
 		this.registry.register("log_lines_dropped", (Gauge<Long>) log::dropped);
@@ -208,6 +213,13 @@
 		this.loop.scheduleWithFixedDelay(IDLE_SWEEP_INTERVAL_MILLIS, this::closeIdle);
 	}
 
+	private void storeAnsweredIn(long era) {
+		long previous = this.storeEra.getAndAccumulate(era, Math::max);
+		if (previous < era) {
+			this.log.record(LogEvent.STORE_ERA, "era", era, "previous", previous, "view", this.view.get().revision());
+		}
+	}
+
 	private void runAndLogFailure(String task, Runnable action) {
 		try {
 			action.run();
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/PlatformBinding.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/PlatformBinding.java
@@ -1,6 +1,7 @@
 package org.monsoonvalve.gateway.process;
 
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 import org.monsoonvalve.core.connection.HttpClient;
 import org.monsoonvalve.gateway.request.HeaderNames;
@@ -26,9 +27,11 @@
 	 * @param client the HTTP client to use
 	 * @param settings the settings
 	 * @param onCall receives the name of each call, to count it
+	 * @param onEra receives the era that each response of the store states, 0 if none; on
+	 * any thread
 	 * @return the store's client
 	 */
-	WatchableStore store(HttpClient client, GatewaySettings settings, Consumer<String> onCall);
+	WatchableStore store(HttpClient client, GatewaySettings settings, Consumer<String> onCall, LongConsumer onEra);
 
 	/**
 	 * Creates a client of the engines.
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ProcessRegistration.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ProcessRegistration.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeUnit;
 
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StoreLease;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.Codec;
 import org.monsoonvalve.core.process.LogEvent;
 import org.monsoonvalve.core.request.FailureCode;
@@ -39,7 +41,7 @@
 
 	private final DecisionLog log;
 
-	private volatile long leaseId;
+	private volatile StoreLease lease = StoreLease.NONE;
 
 	private volatile boolean deregistered;
 
@@ -56,9 +58,9 @@
 
 	void deregister() {
 		this.deregistered = true;
-		if (this.leaseId != 0) {
-			this.store.revokeLease(this.leaseId)
-				.whenComplete((done, failure) -> logFailure("end registration", failure));
+		StoreLease current = this.lease;
+		if (!current.equals(StoreLease.NONE)) {
+			this.store.revokeLease(current).whenComplete((done, failure) -> logFailure("end registration", failure));
 		}
 	}
 
@@ -66,9 +68,9 @@
 		if (this.deregistered) {
 			return;
 		}
-		this.store.grantLease(LEASE_TTL_SECONDS).thenCompose((lease) -> {
-			this.leaseId = lease;
-			return writeRecord(lease);
+		this.store.grantLease(LEASE_TTL_SECONDS).thenCompose((granted) -> {
+			this.lease = granted;
+			return writeRecord(granted);
 		}).whenCompleteAsync((done, failure) -> {
 			if (logFailure("register", failure)) {
 				schedule(this::register, RETRY_MILLIS);
@@ -79,15 +81,16 @@
 		}, this.control);
 	}
 
-	private CompletableFuture<Void> writeRecord(long lease) {
+	private CompletableFuture<Void> writeRecord(StoreLease granted) {
 		String key = StoreKeys.MEMBERS.key(this.self.name());
 		byte[] value = Codec.JSON.encode(this.self);
-		return this.store.write(key, 0, value, lease).thenCompose((firstWrite) -> {
+		return this.store.write(key, StorePosition.NONE, value, granted).thenCompose((firstWrite) -> {
 			if (firstWrite.succeeded()) {
 				return CompletableFuture.completedFuture(firstWrite);
 			}
-			long currentRevision = (firstWrite.current() != null) ? firstWrite.current().revision() : 0;
-			return this.store.write(key, currentRevision, value, lease);
+			StorePosition current = (firstWrite.current() != null) ? firstWrite.current().position()
+					: StorePosition.NONE;
+			return this.store.write(key, current, value, granted);
 		}).thenAccept((result) -> {
 			if (!result.succeeded()) {
 				throw new ServingException(FailureCode.CONFLICT, "the registration was modified concurrently");
@@ -99,7 +102,7 @@
 		if (this.deregistered) {
 			return;
 		}
-		this.store.renewLease(this.leaseId).whenCompleteAsync((alive, failure) -> {
+		this.store.renewLease(this.lease).whenCompleteAsync((alive, failure) -> {
 			if (logFailure("renew registration", failure)) {
 				schedule(this::renew, RETRY_MILLIS);
 			}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StorePosition;
 
 /**
  * A replica of the platform's store, updated by snapshots and changes from the store or
@@ -109,32 +110,32 @@
 	boolean apply(WatchableStore.Changes changes) {
 		boolean changed = false;
 		for (WatchableStore.Change change : changes.changes()) {
-			if (change.revision() > this.revision) {
+			if (change.position().revision() > this.revision) {
 				changed |= apply(change);
 				appendToHistory(change);
 			}
 		}
-		this.revision = Math.max(this.revision, changes.revision());
+		this.revision = Math.max(this.revision, changes.position().revision());
 		return changed;
 	}
 
 	private boolean apply(WatchableStore.Change change) {
 		PlatformStore.Entry current = this.entries.get(change.key());
-		if (current != null && current.revision() >= change.revision()) {
+		if (current != null && current.revision() >= change.position().revision()) {
 			return false;
 		}
 		this.changedKeys.add(change.key());
 		if (change.value() == null) {
 			return this.entries.remove(change.key()) != null;
 		}
-		this.entries.put(change.key(), new PlatformStore.Entry(change.key(), change.revision(), change.value()));
+		this.entries.put(change.key(), new PlatformStore.Entry(change.key(), change.position(), change.value()));
 		return true;
 	}
 
 	private void appendToHistory(WatchableStore.Change change) {
 		this.history.add(change);
 		if (this.history.size() > MAX_HISTORY_CHANGES) {
-			this.historyStartRevision = this.history.remove().revision();
+			this.historyStartRevision = this.history.remove().position().revision();
 		}
 	}
 
@@ -148,8 +149,8 @@
 			return Optional.empty();
 		}
 		List<WatchableStore.Change> missing = new ArrayList<>();
-		this.history.stream().filter((change) -> change.revision() > afterRevision).forEach(missing::add);
-		return Optional.of(new WatchableStore.Changes(this.revision, missing));
+		this.history.stream().filter((change) -> change.position().revision() > afterRevision).forEach(missing::add);
+		return Optional.of(new WatchableStore.Changes(StorePosition.of(this.revision), missing));
 	}
 
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
@@ -17,6 +17,7 @@
 import org.monsoonvalve.core.connection.PeerFrame;
 import org.monsoonvalve.core.connection.PeerTransport;
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.LogEvent;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
@@ -186,10 +187,10 @@
 				schedule(() -> loadSnapshot(this.store.read("", 0)), RETRY_MILLIS);
 				return;
 			}
-			if (this.replica.reset(snapshot)) {
-				this.log.record(LogEvent.FACTS_READ, "revision", snapshot.revision(), "keys",
-						snapshot.entries().size());
-			}
+			StorePosition before = StorePosition.of(this.replica.revision());
+			boolean applied = this.replica.reset(snapshot);
+			this.log.record(LogEvent.FACTS_READ, "position", snapshot.position(), "keys", snapshot.entries().size(),
+					"before", before, "applied", applied);
 			watchStore(CONFIRM_TIMEOUT_MILLIS);
 		});
 	}
@@ -204,7 +205,7 @@
 	}
 
 	private void watchStore(long waitMillis) {
-		handle(this.store.changes(this.replica.revision(), waitMillis), (changes, failure) -> {
+		handle(this.store.changes(StorePosition.of(this.replica.revision()), waitMillis), (changes, failure) -> {
 			if (failure == null) {
 				storeAnswered();
 				apply(changes);
@@ -333,10 +334,12 @@
 					.stream()
 					.map((fact) -> new PlatformStore.Entry(fact.key(), fact.revision(), FactCompressor.valueOf(fact)))
 					.toList()))
-				: this.replica.apply(new WatchableStore.Changes(facts.revision(), facts.facts()
-					.stream()
-					.map((fact) -> new WatchableStore.Change(fact.key(), fact.revision(), FactCompressor.valueOf(fact)))
-					.toList()));
+				: this.replica.apply(new WatchableStore.Changes(StorePosition.of(facts.revision()),
+						facts.facts()
+							.stream()
+							.map((fact) -> new WatchableStore.Change(fact.key(), StorePosition.of(fact.revision()),
+									FactCompressor.valueOf(fact)))
+							.toList()));
 		answerFollowers();
 		if (changed) {
 			if (!this.storeAvailable) {
@@ -381,11 +384,10 @@
 	private PeerFrame factsAfter(long revision) {
 		long storeAge = storeAgeMillis();
 		return this.replica.changesAfter(revision)
-			.map((changes) -> new PeerFrame.Facts(changes.revision(), storeAge, false,
-					changes.changes()
-						.stream()
-						.map((change) -> this.compressor.encode(change.key(), change.revision(), change.value()))
-						.toList()))
+			.map((changes) -> new PeerFrame.Facts(changes.position().revision(), storeAge, false, changes.changes()
+				.stream()
+				.map((change) -> this.compressor.encode(change.key(), change.position().revision(), change.value()))
+				.toList()))
 			.orElseGet(() -> new PeerFrame.Facts(this.replica.revision(), storeAge, true,
 					this.replica.entries()
 						.stream()
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/WatchableStore.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/WatchableStore.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StorePosition;
 
 /**
  * The platform's key-value service with a watch for changes.
@@ -13,15 +14,15 @@
 public interface WatchableStore extends PlatformStore {
 
 	/**
-	 * Waits for changes after a revision, as a long poll.
-	 * @param afterRevision the last revision that the caller has
+	 * Waits for changes after a position, as a long poll.
+	 * @param after the last position that the caller has
 	 * @param waitMillis the longest time that the store waits for a change, in
 	 * milliseconds
 	 * @return the changes; fails with
 	 * {@link org.monsoonvalve.core.request.FailureCode#CONFLICT} if the store no longer
-	 * keeps the changes after that revision
+	 * keeps the changes after that position
 	 */
-	CompletableFuture<Changes> changes(long afterRevision, long waitMillis);
+	CompletableFuture<Changes> changes(StorePosition after, long waitMillis);
 
 	/**
 	 * Reads all keys, perhaps as they were some seconds ago, which costs the store less
@@ -31,12 +32,12 @@
 	CompletableFuture<Snapshot> staleSnapshot();
 
 	/**
-	 * Changes of the store in the order of their revisions.
+	 * Changes of the store in the order of their positions.
 	 *
-	 * @param revision the store's revision after these changes
+	 * @param position the store's position after these changes
 	 * @param changes the changes
 	 */
-	record Changes(long revision, List<Change> changes) {
+	record Changes(StorePosition position, List<Change> changes) {
 
 		/**
 		 * Makes an immutable copy of the changes.
@@ -51,10 +52,10 @@
 	 * A change of one key.
 	 *
 	 * @param key the key
-	 * @param revision the store's revision after the change
+	 * @param position the store's position after the change
 	 * @param value the new value, {@code null} if the key was removed
 	 */
-	record Change(String key, long revision, byte[] value) {
+	record Change(String key, StorePosition position, byte[] value) {
 
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
@@ -11,6 +11,8 @@
 
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StoreLease;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.Codec;
 import org.monsoonvalve.core.process.LeaseElection;
 import org.monsoonvalve.core.process.LogEvent;
@@ -203,7 +205,9 @@
 
 	private void storeGroups(ReplicaPlanner.Plan plan, FleetView.PlannedGroups current) {
 		this.writePending = true;
-		this.store.write(StoreKeys.GROUPS.key(this.zone), current.revision(), Codec.JSON.encode(plan.groups()), 0)
+		this.store
+			.write(StoreKeys.GROUPS.key(this.zone), StorePosition.of(current.revision()),
+					Codec.JSON.encode(plan.groups()), StoreLease.NONE)
 			.whenCompleteAsync((result, failure) -> {
 				this.writePending = false;
 				if (failure != null) {
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FleetViewBuilderTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FleetViewBuilderTests.java
@@ -11,6 +11,7 @@
 
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.gateway.version.ClientLimits;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.FleetView;
@@ -43,8 +44,9 @@
 	private FleetView apply(String key, String value) {
 		this.revision++;
 		byte[] bytes = (value != null) ? value.getBytes(StandardCharsets.UTF_8) : null;
-		this.replica.apply(new WatchableStore.Changes(this.revision,
-				List.of(new WatchableStore.Change(key, this.revision, bytes))));
+		StorePosition position = StorePosition.of(this.revision);
+		this.replica
+			.apply(new WatchableStore.Changes(position, List.of(new WatchableStore.Change(key, position, bytes))));
 		return this.builder.build(this.replica);
 	}
 
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/InMemoryStore.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/InMemoryStore.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import org.monsoonvalve.core.connection.StoreLease;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 
@@ -25,7 +27,7 @@
 
 	synchronized long put(String key, byte[] value) {
 		this.revision++;
-		WatchableStore.Change change = new WatchableStore.Change(key, this.revision, value);
+		WatchableStore.Change change = new WatchableStore.Change(key, StorePosition.of(this.revision), value);
 		this.entries.put(key, change);
 		this.history.add(change);
 		List.copyOf(this.watches).forEach(this::answer);
@@ -33,8 +35,8 @@
 	}
 
 	private synchronized WatchableStore.Changes after(long afterRevision) {
-		return new WatchableStore.Changes(this.revision,
-				this.history.stream().filter((change) -> change.revision() > afterRevision).toList());
+		return new WatchableStore.Changes(StorePosition.of(this.revision),
+				this.history.stream().filter((change) -> change.position().revision() > afterRevision).toList());
 	}
 
 	private synchronized void answer(Watch watch) {
@@ -79,9 +81,9 @@
 		}
 
 		@Override
-		public CompletableFuture<Changes> changes(long afterRevision, long waitMillis) {
+		public CompletableFuture<Changes> changes(StorePosition after, long waitMillis) {
 			this.watchCalls++;
-			return unlessRefused(watch(afterRevision, waitMillis));
+			return unlessRefused(watch(after.revision(), waitMillis));
 		}
 
 		@Override
@@ -95,33 +97,34 @@
 				return unlessRefused(CompletableFuture.completedFuture(new Snapshot(InMemoryStore.this.revision,
 						InMemoryStore.this.entries.values()
 							.stream()
-							.map((change) -> new Entry(change.key(), change.revision(), change.value()))
+							.map((change) -> new Entry(change.key(), change.position(), change.value()))
 							.toList())));
 			}
 		}
 
 		@Override
-		public CompletableFuture<WriteResult> write(String key, long expectedRevision, byte[] value, long leaseId) {
+		public CompletableFuture<WriteResult> write(String key, StorePosition expected, byte[] value,
+				StoreLease lease) {
 			throw new UnsupportedOperationException();
 		}
 
 		@Override
-		public CompletableFuture<WriteResult> delete(String key, long expectedRevision) {
+		public CompletableFuture<WriteResult> delete(String key, StorePosition expected) {
 			throw new UnsupportedOperationException();
 		}
 
 		@Override
-		public CompletableFuture<Long> grantLease(long ttlSeconds) {
+		public CompletableFuture<StoreLease> grantLease(long ttlSeconds) {
 			throw new UnsupportedOperationException();
 		}
 
 		@Override
-		public CompletableFuture<Boolean> renewLease(long leaseId) {
+		public CompletableFuture<Boolean> renewLease(StoreLease lease) {
 			throw new UnsupportedOperationException();
 		}
 
 		@Override
-		public CompletableFuture<Void> revokeLease(long leaseId) {
+		public CompletableFuture<Void> revokeLease(StoreLease lease) {
 			throw new UnsupportedOperationException();
 		}
 
--- a/monsoonvalve-standins/src/test/java/org/monsoonvalve/standins/process/PlatformStandinTests.java
+++ b/monsoonvalve-standins/src/test/java/org/monsoonvalve/standins/process/PlatformStandinTests.java
@@ -11,6 +11,8 @@
 import org.monsoonvalve.core.connection.HttpClient;
 import org.monsoonvalve.core.connection.HttpServer;
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StoreLease;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.Settings;
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -33,7 +35,8 @@
 			for (int round = 0; round < 20; round++) {
 				int number = round;
 				List<CompletableFuture<PlatformStore.WriteResult>> writes = IntStream.range(0, 32)
-					.mapToObj((i) -> store.write("keys/" + number + "/" + i, 0, new byte[] { 1 }, 0))
+					.mapToObj((i) -> store.write("keys/" + number + "/" + i, StorePosition.NONE, new byte[] { 1 },
+							StoreLease.NONE))
 					.toList();
 				List<Long> told = writes.stream().map((write) -> write.join().revision()).sorted().toList();
 				List<Long> kept = store.read("keys/" + number + "/", 0)
