--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerFrame.java
@@ -119,9 +119,21 @@
 	 * @param afterRevision the revision that the requester already has
 	 * @param waitMillis the longest time for which the peer may wait for news before it
 	 * replies, in milliseconds
+	 * @param era the era of the store that the revision belongs to, 0 if it is not known
+	 * @param configurationVersion the version of the configuration that the requester has
+	 * in force, 0 if it has none
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-	record FactsQuestion(long afterRevision, long waitMillis) implements PeerFrame {
+	record FactsQuestion(long afterRevision, long waitMillis, long era,
+			long configurationVersion) implements PeerFrame {
+
+		/**
+		 * Returns the position that the requester already has.
+		 * @return the position
+		 */
+		public StorePosition after() {
+			return new StorePosition(this.era, this.afterRevision);
+		}
 
 	}
 
@@ -133,9 +145,22 @@
 	 * directly or through a peer, in milliseconds
 	 * @param whole whether this is a full snapshot rather than the changes
 	 * @param facts the keys or changes, in order of revision
+	 * @param era the era of the store that the revision belongs to, 0 if the sender
+	 * doesn't know it
+	 * @param retained records that the sender keeps in effect although the store has lost
+	 * them, {@code null} from a sender that doesn't know eras
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-	record Facts(long revision, long storeAgeMillis, boolean whole, List<Fact> facts) implements PeerFrame {
+	record Facts(long revision, long storeAgeMillis, boolean whole, List<Fact> facts, long era,
+			List<Fact> retained) implements PeerFrame {
+
+		/**
+		 * Returns the store position that the sender has.
+		 * @return the position
+		 */
+		public StorePosition position() {
+			return new StorePosition(this.era, this.revision);
+		}
 
 	}
 
@@ -208,9 +233,18 @@
 	 * @param revision the revision of its last change
 	 * @param value the value, {@code null} if the key was removed
 	 * @param deflated whether the value is compressed by the deflate algorithm
+	 * @param era the era of the store that the revision belongs to
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-	record Fact(String key, long revision, byte[] value, boolean deflated) {
+	record Fact(String key, long revision, byte[] value, boolean deflated, long era) {
+
+		/**
+		 * Returns the position of the last change.
+		 * @return the position
+		 */
+		public StorePosition position() {
+			return new StorePosition(this.era, this.revision);
+		}
 
 	}
 
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
@@ -31,6 +31,12 @@
 	// lease.
 	private static final long RENEWAL_VALID_MILLIS = 3500;
 
+	/**
+	 * Time after a restoration of the store until a holder that the store has forgotten,
+	 * and that doesn't know yet, no longer considers itself the holder, in milliseconds.
+	 */
+	public static final long FORGOTTEN_HOLDER_MILLIS = RENEWAL_VALID_MILLIS;
+
 	private static final long CALL_TIMEOUT_MILLIS = 2000;
 
 	private final PlatformStore platform;
@@ -45,6 +51,11 @@
 
 	private final AtomicReference<Term> term = new AtomicReference<>();
 
+	// The last term that ended otherwise than by resignation.
+	private final AtomicReference<Term> ended = new AtomicReference<>();
+
+	private final AtomicReference<Era> era = new AtomicReference<>(new Era(0, null));
+
 	private final Consumer<ServingException> onFailure;
 
 	private LeaseElection(PlatformStore platform, ElapsedClock clock, String key, String selfId,
@@ -79,14 +90,44 @@
 	 */
 	public void tick(boolean mayAcquire) {
 		Term held = this.term.get();
-		if (held != null && !renew(held)) {
-			this.term.compareAndSet(held, null);
+		if (held != null && !renew(held) && this.term.compareAndSet(held, null)) {
+			this.ended.set(held);
 		}
-		if (this.term.get() == null && mayAcquire) {
-			claimablePosition().ifPresent(this::campaign);
+		boolean forgotten = isForgotten(this.ended.get());
+		if (this.term.get() == null && (mayAcquire || forgotten)) {
+			claimablePosition(forgotten).ifPresent(this::campaign);
 		}
 	}
 
+	/**
+	 * Notes the era of the store. In an era that began while this process runs, it
+	 * acquires the role only if it held it at the end of the era before, or once the last
+	 * holder no longer considers itself the holder.
+	 * @param storeEra the era, 0 if the store states none
+	 */
+	public void observeEra(long storeEra) {
+		this.era.updateAndGet((known) -> {
+			if (storeEra <= known.number()) {
+				return known;
+			}
+			return new Era(storeEra, (known.number() > 0) ? this.clock.now() : null);
+		});
+	}
+
+	// Nobody else can have acquired the role in the ended era, as the lease was valid.
+	private boolean isForgotten(Term held) {
+		return held != null && ofEarlierEra(held) && this.clock.elapsedMillis(held.renewed()) < RENEWAL_VALID_MILLIS;
+	}
+
+	private boolean ofEarlierEra(Term held) {
+		return held.lease().era() < this.era.get().number();
+	}
+
+	private boolean mayHaveForgottenHolder() {
+		ElapsedClock.Reading began = this.era.get().began();
+		return began != null && this.clock.elapsedMillis(began) < FORGOTTEN_HOLDER_MILLIS;
+	}
+
 	/**
 	 * Tells whether a holder has the identifier of this process. It is then an earlier
 	 * process whose role this one may take over immediately, as identifiers must be
@@ -104,7 +145,7 @@
 	 */
 	public boolean held() {
 		Term held = this.term.get();
-		return held != null && this.clock.elapsedMillis(held.renewed()) < RENEWAL_VALID_MILLIS;
+		return held != null && !ofEarlierEra(held) && this.clock.elapsedMillis(held.renewed()) < RENEWAL_VALID_MILLIS;
 	}
 
 	/**
@@ -121,6 +162,7 @@
 	 */
 	public void resign() {
 		Term held = this.term.getAndSet(null);
+		this.ended.set(null);
 		if (held != null) {
 			revoke(held.lease());
 		}
@@ -146,14 +188,20 @@
 
 	// Returns the position that a claim must expect: none if the key does not exist, the
 	// key's position if an earlier process with this identifier holds it, empty while
-	// a process with another identifier holds it.
-	private Optional<StorePosition> claimablePosition() {
+	// a process with another identifier holds it. After a restoration the key may name
+	// the holder before this process.
+	private Optional<StorePosition> claimablePosition(boolean forgotten) {
 		try {
-			return await(this.platform.read(this.key, 0)).entries()
+			PlatformStore.Snapshot found = await(this.platform.read(this.key, 0));
+			observeEra(found.position().era());
+			if (!forgotten && mayHaveForgottenHolder()) {
+				return Optional.empty();
+			}
+			return found.entries()
 				.stream()
 				.filter((entry) -> entry.key().equals(this.key))
 				.findFirst()
-				.map((entry) -> isPredecessor(new String(entry.value(), StandardCharsets.UTF_8))
+				.map((entry) -> (forgotten || isPredecessor(new String(entry.value(), StandardCharsets.UTF_8)))
 						? Optional.of(entry.position()) : Optional.<StorePosition>empty())
 				.orElse(Optional.of(StorePosition.NONE));
 		}
@@ -220,6 +268,11 @@
 		}
 	}
 
+	// began is null for the era in which this process started.
+	private record Era(long number, ElapsedClock.Reading began) {
+
+	}
+
 	// renewed is when the last successful renewal, or the grant, was started.
 	private record Term(StoreLease lease, ElapsedClock.Reading acquired, ElapsedClock.Reading renewed) {
 
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
@@ -130,6 +130,15 @@
 	/** The platform store stated a later era than before. */
 	STORE_ERA(6109, Level.WARN, "the platform store is in a later era"),
 
+	/** The replica was rebuilt from a store that was restored from an older copy. */
+	STORE_RESTORED(6110, Level.WARN, "the platform store was restored from an older copy"),
+
+	/** A configuration stayed in force against an older one in the store. */
+	CONFIGURATION_KEPT(6111, Level.WARN, "a configuration is kept against an older one"),
+
+	/** A record that the store had lost was written again. */
+	RECORD_REWRITTEN(6112, Level.INFO, "a lost record was written again"),
+
 	/** A request was rejected. */
 	REQUEST_REFUSED(6201, Level.INFO, "a request was refused"),
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/EndpointSet.java
@@ -128,8 +128,8 @@
 	private void logChange(LogEvent event, EndpointRecord record) {
 		this.log.record(event, "endpoint", record.id(), "service", record.service(), "address", record.address(),
 				"zone", record.zone(), "staged", record.staged(), "models", record.models(), "group",
-				record.membership().map(GroupMembership::group).orElse(""), "record", record.revision(), "view",
-				this.view.revision());
+				record.membership().map(GroupMembership::group).orElse(""), "record", record.position(), "view",
+				this.view.position());
 	}
 
 	/**
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/EntryDecoder.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/EntryDecoder.java
@@ -1,6 +1,7 @@
 package org.monsoonvalve.gateway.process;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.monsoonvalve.core.connection.PlatformStore;
 import org.monsoonvalve.gateway.version.EndpointRecord;
@@ -35,4 +36,14 @@
 	 */
 	Optional<EndpointRecord> endpoint(PlatformStore.Entry entry);
 
+	/**
+	 * Decodes the number of an endpoint's record among those of the same incarnation.
+	 * @param entry an entry with any key
+	 * @return the number, which rises with each record that the incarnation writes, empty
+	 * if the entry doesn't state it
+	 */
+	default OptionalLong endpointSequence(PlatformStore.Entry entry) {
+		return OptionalLong.empty();
+	}
+
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactCompressor.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactCompressor.java
@@ -8,6 +8,7 @@
 import java.util.zip.Inflater;
 
 import org.monsoonvalve.core.connection.PeerFrame;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 
@@ -44,21 +45,21 @@
 	/**
 	 * Encodes a key for a peer.
 	 * @param key the key
-	 * @param revision the revision of its last change
+	 * @param position the position of its last change
 	 * @param value the value, {@code null} if the key was removed
 	 * @return the encoded key
 	 */
-	PeerFrame.Fact encode(String key, long revision, byte[] value) {
+	PeerFrame.Fact encode(String key, StorePosition position, byte[] value) {
 		if (value == null || value.length < MIN_BYTES) {
 			this.latestByKey.remove(key);
-			return new PeerFrame.Fact(key, revision, value, false);
+			return new PeerFrame.Fact(key, position.revision(), value, false, position.era());
 		}
 		CompressedValue latest = this.latestByKey.get(key);
-		if (latest == null || latest.revision() != revision) {
-			latest = new CompressedValue(revision, deflate(value));
+		if (latest == null || !latest.position().equals(position)) {
+			latest = new CompressedValue(position, deflate(value));
 			this.latestByKey.put(key, latest);
 		}
-		return new PeerFrame.Fact(key, revision, latest.bytes(), true);
+		return new PeerFrame.Fact(key, position.revision(), latest.bytes(), true, position.era());
 	}
 
 	/**
@@ -113,7 +114,7 @@
 		}
 	}
 
-	private record CompressedValue(long revision, byte[] bytes) {
+	private record CompressedValue(StorePosition position, byte[] bytes) {
 
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetViewBuilder.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetViewBuilder.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.Codec;
 import org.monsoonvalve.core.process.LogEvent;
 import org.monsoonvalve.core.request.ServingException;
@@ -44,7 +45,9 @@
 
 	private Optional<ServingConfiguration> configuration = Optional.empty();
 
-	private long configurationRevision;
+	private StorePosition configurationPosition = StorePosition.NONE;
+
+	private long keptConfigurations;
 
 	FleetViewBuilder(EntryDecoder decoder, DecisionLog log) {
 		this.decoder = decoder;
@@ -57,19 +60,27 @@
 	 * @return the view
 	 */
 	FleetView build(StoreReplica replica) {
-		replica.takeChangedKeys().forEach((key) -> update(key, replica.entry(key)));
-		return new FleetView(replica.revision(), this.configuration, this.configurationRevision, this.evacuatedZones,
+		replica.takeChangedKeys().forEach((key) -> update(key, replica.entry(key), replica.storedPosition(key)));
+		return new FleetView(replica.position(), this.configuration, this.configurationPosition, this.evacuatedZones,
 				this.endpoints.snapshot(), this.members.snapshot(), this.groups.snapshot(),
 				this.roleHolders.snapshot());
 	}
 
-	private void update(String key, Optional<PlatformStore.Entry> entry) {
+	/**
+	 * Returns how often a configuration stayed in force against an older one.
+	 * @return the number of older configurations
+	 */
+	long keptConfigurations() {
+		return this.keptConfigurations;
+	}
+
+	private void update(String key, Optional<PlatformStore.Entry> entry, StorePosition stored) {
 		remove(key, this.decodedByKey.remove(key));
 		entry.ifPresent((current) -> {
 			Object decoded = decode(current);
 			if (decoded != null) {
 				this.decodedByKey.put(key, decoded);
-				add(current, decoded);
+				add(current, decoded, stored);
 			}
 		});
 	}
@@ -93,15 +104,13 @@
 		}
 	}
 
-	private void add(PlatformStore.Entry entry, Object decoded) {
+	private void add(PlatformStore.Entry entry, Object decoded, StorePosition stored) {
 		if (decoded instanceof ServingConfiguration found) {
-			this.configuration = Optional.of(found);
-			this.configurationRevision = entry.revision();
-			this.log.record(LogEvent.CONFIGURATION_IN_FORCE, "version", found.version(), "revision", entry.revision());
+			put(found, entry.position());
 		}
 		else if (decoded instanceof EvacuatedZone zone) {
 			this.evacuatedZones.add(zone.name());
-			this.log.record(LogEvent.ZONE_EVACUATED, "zone", zone.name(), "revision", entry.revision());
+			this.log.record(LogEvent.ZONE_EVACUATED, "zone", zone.name(), "position", entry.position());
 		}
 		else if (decoded instanceof EndpointRecord endpoint) {
 			this.endpoints.put(endpoint.id(), endpoint);
@@ -111,13 +120,31 @@
 		}
 		else if (decoded instanceof ZoneGroups planned) {
 			StoreKeys.GROUPS.nameOf(entry.key())
-				.ifPresent((zone) -> this.groups.put(zone, new FleetView.PlannedGroups(planned, entry.revision())));
+				.ifPresent((zone) -> this.groups.put(zone,
+						stored.equals(entry.position()) ? new FleetView.PlannedGroups(planned, stored)
+								: FleetView.PlannedGroups.lost(planned, stored)));
 		}
 		else if (decoded instanceof RoleHolder holder) {
 			this.roleHolders.put(holder.role(), holder.name());
 		}
 	}
 
+	// Operators number configurations upwards, so a lower version is an older one, at
+	// whatever position the store holds it.
+	private void put(ServingConfiguration found, StorePosition position) {
+		Optional<ServingConfiguration> newer = this.configuration
+			.filter((current) -> current.version() > found.version());
+		if (newer.isPresent()) {
+			this.keptConfigurations++;
+			this.log.record(LogEvent.CONFIGURATION_KEPT, "version", newer.get().version(), "position",
+					this.configurationPosition, "older_version", found.version(), "older_position", position);
+			return;
+		}
+		this.configuration = Optional.of(found);
+		this.configurationPosition = position;
+		this.log.record(LogEvent.CONFIGURATION_IN_FORCE, "version", found.version(), "position", position);
+	}
+
 	// Returns null for a value that can't be used, whatever is wrong with it: other
 	// clients may write arbitrary bytes, and the remaining entries must stay in use.
 	private Object decode(PlatformStore.Entry entry) {
@@ -131,13 +158,13 @@
 		catch (RuntimeException ex) {
 			reason = ServingException.from(ex).getMessage();
 		}
-		this.log.record(LogEvent.FACT_REFUSED, "key", entry.key(), "revision", entry.revision(), "reason", reason);
+		this.log.record(LogEvent.FACT_REFUSED, "key", entry.key(), "position", entry.position(), "reason", reason);
 		return null;
 	}
 
 	private Optional<Object> decodeByKey(PlatformStore.Entry entry) {
 		if (StoreKeys.MEMBERS.nameOf(entry.key()).isPresent()) {
-			return Optional.of(Codec.JSON.decode(entry.value(), Member.class).registeredAt(entry.revision()));
+			return Optional.of(Codec.JSON.decode(entry.value(), Member.class).registeredAt(entry.position()));
 		}
 		if (StoreKeys.GROUPS.nameOf(entry.key()).isPresent()) {
 			return Optional.of(Codec.JSON.decode(entry.value(), ZoneGroups.class));
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -22,6 +22,7 @@
 import org.monsoonvalve.core.connection.HttpServer;
 import org.monsoonvalve.core.connection.IncomingCall;
 import org.monsoonvalve.core.connection.PeerFrame;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.ElapsedClock;
 import org.monsoonvalve.core.process.LeaseElection;
 import org.monsoonvalve.core.process.LogEvent;
@@ -89,6 +90,12 @@
 	 */
 	private static final long CRASH_NEWS_DELAY_MILLIS = 10;
 
+	/**
+	 * Span, for each process of the fleet, over which the registrations after a
+	 * restoration of the store are spread.
+	 */
+	private static final long REWRITE_MILLIS_PER_PROCESS = 5;
+
 	/** Timeout for a peer's reply; the latency between peers is a few milliseconds. */
 	private static final long PEER_TIMEOUT_MILLIS = 400;
 
@@ -119,6 +126,10 @@
 
 	private final Dispatcher dispatcher;
 
+	private final EraCheckedStore store;
+
+	private final long startMillis = EventLoop.nowMillis();
+
 	private final EndpointSet endpoints;
 
 	private final CrashEvidence crashes;
@@ -137,8 +148,6 @@
 
 	private final AtomicReference<GatewaySettings> settings;
 
-	private final AtomicLong storeEra = new AtomicLong();
-
 	private volatile boolean draining;
 
 	private volatile int maxProcessesSeen;
@@ -150,8 +159,9 @@
 		this.loop = EventLoop
 			.start((failure) -> log.record(LogEvent.TASK_FAILED, "task", "event loop", "reason", failure.toString()));
 		HttpClient client = HttpClient.start(this.loop, CONNECT_TIMEOUT_MILLIS);
-		WatchableStore store = platform.store(client, settings, (name) -> this.registry.counter("store." + name).inc(),
-				this::storeAnsweredIn);
+		this.store = EraCheckedStore.of((onEra) -> platform.store(client, settings,
+				(name) -> this.registry.counter("store." + name).inc(), onEra));
+		this.store.onLaterEra(this::enterEra);
 		EngineControl engines = platform.engines(client, (name) -> this.registry.counter("orders." + name).inc());
 		this.endpoints = new EndpointSet(settings.zone(),
 				(record) -> new Endpoint(record, client, this.registry.counter("endpoint_connections")::inc), log);
@@ -165,23 +175,26 @@
 				this.limits);
 		ElapsedClock clock = ElapsedClock.system();
 		this.zones = settings.zones().stream().map((zone) -> {
-			LeaseElection election = LeaseElection.of(store, clock, "planner-" + zone,
+			LeaseElection election = LeaseElection.of(this.store, clock, "planner-" + zone,
 					NodeId.of(settings.name() + "@" + settings.peers()), (failure) -> log.record(LogEvent.TASK_FAILED,
 							"task", "election for " + zone, "reason", failure.getMessage()));
 			return new ManagedZone(zone, election, new RoleCandidacy("planner-" + zone, settings.name()),
-					new ZonePlanner(zone, settings, store, engines, election, this.control, log));
+					new ZonePlanner(zone, settings, this.store, engines, election, this.control, log));
 		}).toList();
-		this.storeSync = new StoreSync(store, platform.decoder(), settings, this.loop, this.control, log,
+		this.storeSync = new StoreSync(this.store, platform.decoder(), settings, this.loop, this.control, log,
 				this::updateView, this::handleFrame);
-		this.registration = new ProcessRegistration(store,
+		this.registration = new ProcessRegistration(this.store,
 				Member.of(settings.name(), settings.zone(), settings.peers()), this.control, log);
 		HttpServer.start(this.loop, settings.readiness(), HttpLimits.defaults(), this::readiness);
 		HttpServer.start(this.loop, settings.metrics(), HttpLimits.defaults(), this::metrics);
 		this.callers = HttpServer.start(this.loop, settings.callers(), HTTP_LIMITS, this.dispatcher::accept);
 		this.registry.register("prompt_parts_blocked", (Gauge<Integer>) this.crashes::blockedParts);
 		this.registry.register("endpoints_limited", (Gauge<Integer>) this.limits::size);
-		this.registry.register("store_era", (Gauge<Long>) this.storeEra::get);
-		this.registry.register("view_revision", (Gauge<Long>) () -> this.view.get().revision());
+		this.registry.register("store_era", (Gauge<Long>) this.store::newestEra);
+		this.registry.register("store_answers_discarded", (Gauge<Long>) this.store::discardedAnswers);
+		this.registry.register("records_retained", (Gauge<Integer>) this.storeSync::retainedRecords);
+		this.registry.register("configurations_kept", (Gauge<Long>) this.storeSync::keptConfigurations);
+		this.registry.register("view_revision", (Gauge<Long>) () -> this.view.get().position().revision());
 		this.registry.register("requests_in_progress", (Gauge<Integer>) this.dispatcher::inProgress);
 		this.registry.register("log_lines_dropped", (Gauge<Long>) log::dropped);
 	}
@@ -213,10 +226,16 @@
 		this.loop.scheduleWithFixedDelay(IDLE_SWEEP_INTERVAL_MILLIS, this::closeIdle);
 	}
 
-	private void storeAnsweredIn(long era) {
-		long previous = this.storeEra.getAndAccumulate(era, Math::max);
-		if (previous < era) {
-			this.log.record(LogEvent.STORE_ERA, "era", era, "previous", previous, "view", this.view.get().revision());
+	// The store may have lost what this process has written. Many processes write again
+	// at the same time, so their writes are spread.
+	private void enterEra(long era, long previous) {
+		this.log.record(LogEvent.STORE_ERA, "era", era, "previous", previous, "view", this.view.get().position());
+		this.zones.forEach((zone) -> zone.election().observeEra(era));
+		if (previous > 0 && !this.draining) {
+			this.registry.counter("store_restorations").inc();
+			this.elections.execute(() -> runAndLogFailure("election", this::updateRoles));
+			this.registration
+				.registerAgain(ThreadLocalRandom.current().nextLong(1 + REWRITE_MILLIS_PER_PROCESS * processCount()));
 		}
 	}
 
@@ -275,7 +294,7 @@
 	 */
 	private void updateRoles() {
 		FleetView known = this.view.get();
-		if (this.draining || known.revision() == 0) {
+		if (this.draining || known.position().equals(StorePosition.NONE)) {
 			return;
 		}
 		this.zones.forEach((zone) -> {
@@ -290,10 +309,17 @@
 			boolean predecessor = holder != null && zone.election().isPredecessor(holder);
 			boolean first = zone.candidacy()
 				.mayAcquire(holder == null, ownZone ? zoneMembers : known.members().values(), EventLoop.nowMillis());
-			zone.election().tick(eligible && (first || predecessor));
+			zone.election().tick(eligible && ((first && mayAcquireVacant()) || predecessor));
 		});
 	}
 
+	// A process that starts doesn't know whether the store was restored just before, and
+	// has forgotten a holder.
+	private boolean mayAcquireVacant() {
+		return this.settings.get().firstStart() || this.store.newestEra() == 0
+				|| EventLoop.nowMillis() - this.startMillis > LeaseElection.FORGOTTEN_HOLDER_MILLIS;
+	}
+
 	private void closeIdle() {
 		this.view.get()
 			.configuration()
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/GatewaySettings.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/GatewaySettings.java
@@ -17,9 +17,11 @@
  * @param metrics the address to serve metrics at
  * @param store the address of the platform's store
  * @param limits the bounds agreed on by the operators
+ * @param firstStart whether the whole system starts for the first time, so that no
+ * earlier process can hold a role
  */
 public record GatewaySettings(String name, String zone, List<String> zones, Address callers, Address readiness,
-		Address peers, Address metrics, Address store, Bounds limits) {
+		Address peers, Address metrics, Address store, Bounds limits, boolean firstStart) {
 
 	/**
 	 * Bounds on shutdown, retries, cold starts and stalls.
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ProcessRegistration.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ProcessRegistration.java
@@ -25,7 +25,7 @@
 	 * Lifetime of a registration without renewal; longer than a typical outage of the
 	 * store.
 	 */
-	private static final long LEASE_TTL_SECONDS = 10;
+	static final long LEASE_TTL_SECONDS = 10;
 
 	/** Interval between renewals; two may fail before the registration expires. */
 	private static final long RENEW_MILLIS = 3000;
@@ -45,6 +45,9 @@
 
 	private volatile boolean deregistered;
 
+	// Confined to the control thread; the steps of an earlier sequence are dropped.
+	private int sequence;
+
 	ProcessRegistration(PlatformStore store, Member self, ScheduledExecutorService control, DecisionLog log) {
 		this.store = store;
 		this.self = self;
@@ -53,7 +56,19 @@
 	}
 
 	void start() {
-		this.control.execute(this::register);
+		this.control.execute(this::restart);
+	}
+
+	/**
+	 * Registers again, as the store may have lost the registration.
+	 * @param delayMillis the delay, in milliseconds
+	 */
+	void registerAgain(long delayMillis) {
+		this.control.schedule(this::restart, delayMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private void restart() {
+		register(++this.sequence);
 	}
 
 	void deregister() {
@@ -64,24 +79,27 @@
 		}
 	}
 
-	private void register() {
-		if (this.deregistered) {
+	private void register(int current) {
+		if (this.deregistered || current != this.sequence) {
 			return;
 		}
+		boolean again = !this.lease.equals(StoreLease.NONE);
 		this.store.grantLease(LEASE_TTL_SECONDS).thenCompose((granted) -> {
 			this.lease = granted;
 			return writeRecord(granted);
-		}).whenCompleteAsync((done, failure) -> {
+		}).whenCompleteAsync((position, failure) -> {
 			if (logFailure("register", failure)) {
-				schedule(this::register, RETRY_MILLIS);
+				schedule(() -> register(current), RETRY_MILLIS);
+				return;
 			}
-			else {
-				schedule(this::renew, RENEW_MILLIS);
+			if (again) {
+				this.log.record(LogEvent.RECORD_REWRITTEN, "record", "registration", "position", position);
 			}
+			schedule(() -> renew(current), RENEW_MILLIS);
 		}, this.control);
 	}
 
-	private CompletableFuture<Void> writeRecord(StoreLease granted) {
+	private CompletableFuture<StorePosition> writeRecord(StoreLease granted) {
 		String key = StoreKeys.MEMBERS.key(this.self.name());
 		byte[] value = Codec.JSON.encode(this.self);
 		return this.store.write(key, StorePosition.NONE, value, granted).thenCompose((firstWrite) -> {
@@ -91,26 +109,27 @@
 			StorePosition current = (firstWrite.current() != null) ? firstWrite.current().position()
 					: StorePosition.NONE;
 			return this.store.write(key, current, value, granted);
-		}).thenAccept((result) -> {
+		}).thenApply((result) -> {
 			if (!result.succeeded()) {
 				throw new ServingException(FailureCode.CONFLICT, "the registration was modified concurrently");
 			}
+			return result.position();
 		});
 	}
 
-	private void renew() {
-		if (this.deregistered) {
+	private void renew(int current) {
+		if (this.deregistered || current != this.sequence) {
 			return;
 		}
 		this.store.renewLease(this.lease).whenCompleteAsync((alive, failure) -> {
 			if (logFailure("renew registration", failure)) {
-				schedule(this::renew, RETRY_MILLIS);
+				schedule(() -> renew(current), RETRY_MILLIS);
 			}
 			else if (alive) {
-				schedule(this::renew, RENEW_MILLIS);
+				schedule(() -> renew(current), RENEW_MILLIS);
 			}
 			else {
-				register();
+				register(current);
 			}
 		}, this.control);
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
@@ -2,13 +2,16 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.monsoonvalve.core.connection.PlatformStore;
@@ -16,7 +19,10 @@
 
 /**
  * A replica of the platform's store, updated by snapshots and changes from the store or
- * from peers. Its revision never decreases.
+ * from peers. Its position never decreases; a snapshot of a later era replaces the
+ * content whatever its revision is. What was known in the earlier era and is newer than
+ * the content of the restored store stays in effect for as long as {@link RecordRetention
+ * the retention} says.
  *
  * @author monsoonvalve maintainers
  */
@@ -25,31 +31,94 @@
 	/** Changes kept for peers; about a minute of changes on the busiest day. */
 	private static final int MAX_HISTORY_CHANGES = 2000;
 
-	private final Map<String, PlatformStore.Entry> entries = new HashMap<>();
+	/** Removed records that are remembered. */
+	private static final int MAX_REMOVED = 2000;
+
+	/**
+	 * Time for which removed records are remembered; copies of the store are some seconds
+	 * old.
+	 */
+	private static final long REMOVED_MILLIS = 60_000;
+
+	private final RecordRetention retention;
+
+	private final Map<String, PlatformStore.Entry> stored = new HashMap<>();
+
+	private final Map<String, RetainedRecord> retained = new HashMap<>();
+
+	private final Map<String, RemovedRecord> removed = new LinkedHashMap<>() {
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, RemovedRecord> eldest) {
+			return size() > MAX_REMOVED;
+		}
+
+	};
 
 	private final Deque<WatchableStore.Change> history = new ArrayDeque<>();
 
 	private final Set<String> changedKeys = new HashSet<>();
 
-	private long historyStartRevision;
+	private StorePosition historyStart = StorePosition.NONE;
 
-	private long revision;
+	private StorePosition position = StorePosition.NONE;
 
-	long revision() {
-		return this.revision;
+	StoreReplica(RecordRetention retention) {
+		this.retention = retention;
+	}
+
+	StorePosition position() {
+		return this.position;
+	}
+
+	/**
+	 * Returns what the store holds, without the records that are only retained.
+	 * @return the entries
+	 */
+	Collection<PlatformStore.Entry> storedEntries() {
+		return this.stored.values();
+	}
+
+	/**
+	 * Returns the records that stay in effect although the store has lost them, of those
+	 * kinds that peers are told of.
+	 * @return the records, with their positions in an earlier era
+	 */
+	List<PlatformStore.Entry> retainedForPeers() {
+		return this.retained.values()
+			.stream()
+			.flatMap((record) -> record.entry().stream())
+			.filter(this.retention::isTold)
+			.toList();
 	}
 
-	Collection<PlatformStore.Entry> entries() {
-		return this.entries.values();
+	/**
+	 * Returns the number of keys whose records or removals in an earlier era are still in
+	 * effect.
+	 * @return the number of keys
+	 */
+	int retainedCount() {
+		return this.retained.size();
 	}
 
 	/**
-	 * Returns an entry.
+	 * Returns the entry in effect.
 	 * @param key the entry's key
 	 * @return the entry, empty if the key doesn't exist
 	 */
 	Optional<PlatformStore.Entry> entry(String key) {
-		return Optional.ofNullable(this.entries.get(key));
+		RetainedRecord kept = this.retained.get(key);
+		return (kept != null) ? kept.entry() : Optional.ofNullable(this.stored.get(key));
+	}
+
+	/**
+	 * Returns the position at which the store holds a key, which a write must expect.
+	 * @param key the key
+	 * @return the position, {@link StorePosition#NONE} if the store doesn't hold it
+	 */
+	StorePosition storedPosition(String key) {
+		PlatformStore.Entry entry = this.stored.get(key);
+		return (entry != null) ? entry.position() : StorePosition.NONE;
 	}
 
 	/**
@@ -70,87 +139,208 @@
 		return !this.changedKeys.isEmpty();
 	}
 
-	private boolean hasRevision(String key, long expected) {
-		return entry(key).filter((current) -> current.revision() == expected).isPresent();
-	}
-
 	/**
 	 * Replaces the content by a snapshot. A key that the snapshot lacks is removed until
 	 * a later change adds it.
-	 * @param snapshot all keys at a revision
+	 * @param snapshot all keys at a position
+	 * @param nowMillis the current time, in milliseconds
 	 * @return {@code false} if the snapshot is older than the replica and was ignored
 	 */
-	boolean reset(PlatformStore.Snapshot snapshot) {
-		if (snapshot.revision() < this.revision) {
+	boolean reset(PlatformStore.Snapshot snapshot, long nowMillis) {
+		if (this.position.isAfter(snapshot.position())) {
 			return false;
 		}
-		Map<String, PlatformStore.Entry> snapshotEntries = new HashMap<>();
-		snapshot.entries().forEach((entry) -> snapshotEntries.put(entry.key(), entry));
-		snapshotEntries.values()
-			.stream()
-			.filter((entry) -> !hasRevision(entry.key(), entry.revision()))
-			.forEach((entry) -> this.changedKeys.add(entry.key()));
-		this.entries.keySet()
+		Map<String, PlatformStore.Entry> found = new HashMap<>();
+		snapshot.entries().forEach((entry) -> found.put(entry.key(), entry));
+		Map<String, PlatformStore.Entry> before = effectiveEntries();
+		if (this.position.precedesEraOf(snapshot.position())) {
+			retainAgainst(found, before, nowMillis);
+		}
+		else {
+			this.retained.keySet().removeIf((key) -> isReleasedBy(key, found.get(key)));
+		}
+		this.stored.keySet()
 			.stream()
-			.filter((key) -> !snapshotEntries.containsKey(key))
-			.forEach(this.changedKeys::add);
-		this.entries.clear();
-		this.entries.putAll(snapshotEntries);
-		this.revision = snapshot.revision();
+			.filter((key) -> !found.containsKey(key))
+			.forEach((key) -> rememberRemoved(this.stored.get(key), nowMillis));
+		this.stored.clear();
+		this.stored.putAll(found);
+		this.position = snapshot.position();
 		this.history.clear();
-		this.historyStartRevision = this.revision;
+		this.historyStart = this.position;
+		Set<String> keys = new HashSet<>(before.keySet());
+		keys.addAll(found.keySet());
+		keys.addAll(this.retained.keySet());
+		keys.stream()
+			.filter((key) -> !sameRecord(before.get(key), entry(key).orElse(null)))
+			.forEach(this.changedKeys::add);
 		return true;
 	}
 
+	private Map<String, PlatformStore.Entry> effectiveEntries() {
+		Map<String, PlatformStore.Entry> effective = new HashMap<>(this.stored);
+		this.retained.forEach((key, record) -> {
+			effective.remove(key);
+			record.entry().ifPresent((entry) -> effective.put(key, entry));
+		});
+		return effective;
+	}
+
+	private void retainAgainst(Map<String, PlatformStore.Entry> found, Map<String, PlatformStore.Entry> before,
+			long nowMillis) {
+		this.retained.clear();
+		before.forEach((key, held) -> {
+			Optional<PlatformStore.Entry> restored = Optional.ofNullable(found.get(key));
+			if (restored.filter((entry) -> sameRecord(entry, held)).isEmpty()) {
+				retain(key, Optional.of(held), this.retention.retainMillis(held, restored), nowMillis);
+			}
+		});
+		this.removed.values().removeIf((record) -> nowMillis - record.removedMillis() > REMOVED_MILLIS);
+		this.removed.forEach((key, record) -> {
+			if (!before.containsKey(key) && found.containsKey(key)) {
+				retain(key, Optional.empty(), this.retention.withholdMillis(record.last(), found.get(key)), nowMillis);
+			}
+		});
+	}
+
+	private void retain(String key, Optional<PlatformStore.Entry> entry, OptionalLong millis, long nowMillis) {
+		millis.ifPresent((duration) -> this.retained.put(key,
+				new RetainedRecord(entry, (duration == Long.MAX_VALUE) ? Long.MAX_VALUE : nowMillis + duration)));
+	}
+
+	// The key was written in this era if the store holds it at another position.
+	private boolean isReleasedBy(String key, PlatformStore.Entry found) {
+		PlatformStore.Entry restored = this.stored.get(key);
+		return !sameRecord(found, restored) && isReleased(key, Optional.ofNullable(found));
+	}
+
+	private boolean isReleased(String key, Optional<PlatformStore.Entry> written) {
+		return this.retained.get(key).entry().filter((held) -> !this.retention.releases(held, written)).isEmpty();
+	}
+
+	private static boolean sameRecord(PlatformStore.Entry first, PlatformStore.Entry second) {
+		return first == second || (first != null && second != null && first.revision() == second.revision()
+				&& Arrays.equals(first.value(), second.value()));
+	}
+
 	/**
-	 * Applies changes that follow a revision that the replica includes.
-	 * @param changes the changes
+	 * Applies changes that follow a position that the replica includes.
+	 * @param changes the changes, which are ignored if they are of another era
+	 * @param nowMillis the current time, in milliseconds
 	 * @return whether any key changed
 	 */
-	boolean apply(WatchableStore.Changes changes) {
+	boolean apply(WatchableStore.Changes changes, long nowMillis) {
+		if (changes.position().era() != this.position.era() && !this.position.equals(StorePosition.NONE)) {
+			return false;
+		}
 		boolean changed = false;
 		for (WatchableStore.Change change : changes.changes()) {
-			if (change.position().revision() > this.revision) {
-				changed |= apply(change);
+			if (change.position().isAfter(this.position)) {
+				changed |= apply(change, nowMillis);
 				appendToHistory(change);
 			}
 		}
-		this.revision = Math.max(this.revision, changes.position().revision());
+		if (changes.position().isAfter(this.position)) {
+			this.position = changes.position();
+		}
 		return changed;
 	}
 
-	private boolean apply(WatchableStore.Change change) {
-		PlatformStore.Entry current = this.entries.get(change.key());
-		if (current != null && current.revision() >= change.position().revision()) {
+	private boolean apply(WatchableStore.Change change, long nowMillis) {
+		PlatformStore.Entry current = this.stored.get(change.key());
+		if (current != null && !change.position().isAfter(current.position())) {
 			return false;
 		}
+		boolean existed = entry(change.key()).isPresent();
+		Optional<PlatformStore.Entry> written = (change.value() != null)
+				? Optional.of(new PlatformStore.Entry(change.key(), change.position(), change.value()))
+				: Optional.empty();
+		if (this.retained.containsKey(change.key()) && isReleased(change.key(), written)) {
+			this.retained.remove(change.key());
+		}
 		this.changedKeys.add(change.key());
-		if (change.value() == null) {
-			return this.entries.remove(change.key()) != null;
+		if (written.isPresent()) {
+			this.stored.put(change.key(), written.get());
+			return true;
 		}
-		this.entries.put(change.key(), new PlatformStore.Entry(change.key(), change.position(), change.value()));
-		return true;
+		Optional.ofNullable(this.stored.remove(change.key())).ifPresent((last) -> rememberRemoved(last, nowMillis));
+		return existed;
+	}
+
+	private void rememberRemoved(PlatformStore.Entry last, long nowMillis) {
+		this.removed.remove(last.key());
+		this.removed.put(last.key(), new RemovedRecord(last, nowMillis));
+	}
+
+	/**
+	 * Takes over a record that a peer retained, if it is newer than the one in effect.
+	 * @param record the record, of an earlier era
+	 */
+	void retainFromPeer(PlatformStore.Entry record) {
+		if (record.position().precedesEraOf(this.position) && this.retention.takesEffect(record, entry(record.key()))) {
+			this.retained.put(record.key(), new RetainedRecord(Optional.of(record), Long.MAX_VALUE));
+			this.changedKeys.add(record.key());
+		}
+	}
+
+	/**
+	 * Ends the effect of retained records whose time has passed.
+	 * @param nowMillis the current time, in milliseconds
+	 */
+	void expireRetained(long nowMillis) {
+		this.retained.entrySet().removeIf((kept) -> {
+			boolean expired = kept.getValue().untilMillis() <= nowMillis;
+			if (expired) {
+				this.changedKeys.add(kept.getKey());
+				kept.getValue()
+					.entry()
+					.filter((entry) -> !this.stored.containsKey(entry.key()))
+					.ifPresent((entry) -> rememberRemoved(entry, nowMillis));
+			}
+			return expired;
+		});
 	}
 
 	private void appendToHistory(WatchableStore.Change change) {
 		this.history.add(change);
 		if (this.history.size() > MAX_HISTORY_CHANGES) {
-			this.historyStartRevision = this.history.remove().position().revision();
+			this.historyStart = this.history.remove().position();
 		}
 	}
 
 	/**
 	 * Finds the changes that a peer lacks.
-	 * @param afterRevision the peer's revision
-	 * @return the changes, empty if the history no longer includes all of them
+	 * @param after the peer's position
+	 * @return the changes, empty if the history no longer includes all of them, or if the
+	 * peer is in another era
 	 */
-	Optional<WatchableStore.Changes> changesAfter(long afterRevision) {
-		if (afterRevision < this.historyStartRevision) {
+	Optional<WatchableStore.Changes> changesAfter(StorePosition after) {
+		if (after.era() != this.position.era() || this.historyStart.isAfter(after)) {
 			return Optional.empty();
 		}
 		List<WatchableStore.Change> missing = new ArrayList<>();
-		this.history.stream().filter((change) -> change.position().revision() > afterRevision).forEach(missing::add);
-		return Optional.of(new WatchableStore.Changes(StorePosition.of(this.revision), missing));
+		this.history.stream().filter((change) -> change.position().isAfter(after)).forEach(missing::add);
+		return Optional.of(new WatchableStore.Changes(this.position, missing));
+	}
+
+	/**
+	 * A record of an earlier era that is in effect.
+	 *
+	 * @param entry the record, empty for one that was removed in the earlier era
+	 * @param untilMillis the time until which it is in effect, in milliseconds
+	 */
+	private record RetainedRecord(Optional<PlatformStore.Entry> entry, long untilMillis) {
+
+	}
+
+	/**
+	 * A record that was removed.
+	 *
+	 * @param last the record before its removal
+	 * @param removedMillis the time of the removal, in milliseconds
+	 */
+	private record RemovedRecord(PlatformStore.Entry last, long removedMillis) {
+
 	}
 
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
@@ -1,6 +1,7 @@
 package org.monsoonvalve.gateway.process;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -87,16 +88,23 @@
 	 */
 	private static final long PEER_SYNC_MILLIS = 500;
 
+	/**
+	 * Time after a start, and after the store was restored, during which random peers are
+	 * asked even if the replica is up to date: they may have a newer configuration than
+	 * the store.
+	 */
+	private static final long ORIENTATION_MILLIS = 10_000;
+
 	/** Timeout for a peer's answer; the latency between peers is a few milliseconds. */
 	private static final long PEER_TIMEOUT_MILLIS = 400;
 
-	private final WatchableStore store;
+	private final EraCheckedStore store;
 
 	private final GatewaySettings settings;
 
 	private final ScheduledExecutorService control;
 
-	private final StoreReplica replica = new StoreReplica();
+	private final StoreReplica replica;
 
 	private final FleetViewBuilder viewBuilder;
 
@@ -124,7 +132,11 @@
 
 	private boolean readerRequestPending;
 
-	StoreSync(WatchableStore store, EntryDecoder decoder, GatewaySettings settings, EventLoop loop,
+	private int watchSequence;
+
+	private long orientedAtMillis = EventLoop.nowMillis() + ORIENTATION_MILLIS;
+
+	StoreSync(EraCheckedStore store, EntryDecoder decoder, GatewaySettings settings, EventLoop loop,
 			ScheduledExecutorService control, DecisionLog log, Consumer<FleetView> onChange,
 			Function<PeerFrame, CompletableFuture<PeerFrame>> otherFrames) {
 		this.store = store;
@@ -132,18 +144,56 @@
 		this.control = control;
 		this.log = log;
 		this.onChange = onChange;
+		this.replica = new StoreReplica(new RecordRetention(decoder, log));
 		this.viewBuilder = new FleetViewBuilder(decoder, log);
 		this.upstream = new FactsUpstream(settings.name(), settings.zone());
 		this.otherFrames = otherFrames;
 		this.peers = PeerTransport.start(loop, settings.peers(), control, this::handleFrame);
+		store.onLaterEra((era, previous) -> control.execute(() -> runAndLogFailure("enter an era", this::enterEra)));
 	}
 
 	void start() {
-		this.control.execute(() -> loadSnapshot(this.store.staleSnapshot()));
+		this.control.execute(() -> loadSnapshot(this.store.staleSnapshot(), this.watchSequence));
 		this.control.scheduleWithFixedDelay(() -> runAndLogFailure("ask a peer", this::syncWithRandomPeer),
 				PEER_SYNC_MILLIS, PEER_SYNC_MILLIS, TimeUnit.MILLISECONDS);
 		this.control.scheduleWithFixedDelay(() -> runAndLogFailure("follow the reader", this::followReader),
 				READER_CHECK_MILLIS, READER_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+		this.control.scheduleWithFixedDelay(() -> runAndLogFailure("expire records", this::expireRetained),
+				READER_CHECK_MILLIS, READER_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Returns the number of records of an earlier era that are in effect.
+	 * @return the number; may be out of date on other threads than the control thread
+	 */
+	int retainedRecords() {
+		return this.replica.retainedCount();
+	}
+
+	/**
+	 * Returns how often a configuration stayed in force against an older one.
+	 * @return the number; may be out of date on other threads than the control thread
+	 */
+	long keptConfigurations() {
+		return this.viewBuilder.keptConfigurations();
+	}
+
+	// A pending watch belongs to the ended era. A process that follows another one gets
+	// the new content from there.
+	private void enterEra() {
+		this.orientedAtMillis = EventLoop.nowMillis() + ORIENTATION_MILLIS;
+		boolean restored = this.replica.position().era() > 0 && this.store.isPast(this.replica.position().era());
+		if (restored && !readerAnswers()) {
+			this.watchSequence++;
+			loadSnapshot(this.store.read("", 0), this.watchSequence);
+		}
+	}
+
+	private void expireRetained() {
+		this.replica.expireRetained(EventLoop.nowMillis());
+		if (this.replica.changedSinceTaken()) {
+			publishView();
+		}
 	}
 
 	private void runAndLogFailure(String task, Runnable action) {
@@ -160,13 +210,15 @@
 	}
 
 	// An unexpected error must not end the sequence of watches.
-	private <T> void handle(CompletableFuture<T> answer, BiConsumer<T, Throwable> handler) {
+	private <T> void handle(CompletableFuture<T> answer, int sequence, BiConsumer<T, Throwable> handler) {
 		answer.handleAsync((value, failure) -> {
-			handler.accept(value, failure);
+			if (sequence == this.watchSequence) {
+				handler.accept(value, failure);
+			}
 			return null;
 		}, this.control).exceptionally((unexpected) -> {
 			logFailure("follow the store", unexpected);
-			schedule(this::watchStore, RETRY_MILLIS);
+			schedule(() -> watchStore(sequence), RETRY_MILLIS);
 			return null;
 		});
 	}
@@ -180,43 +232,62 @@
 	}
 
 	// The view of a snapshot is published once a watch has shown what it lacks.
-	private void loadSnapshot(CompletableFuture<PlatformStore.Snapshot> reading) {
-		handle(reading, (snapshot, failure) -> {
+	private void loadSnapshot(CompletableFuture<PlatformStore.Snapshot> reading, int sequence) {
+		handle(reading, sequence, (snapshot, failure) -> {
 			if (failure != null) {
 				storeFailed(failure);
-				schedule(() -> loadSnapshot(this.store.read("", 0)), RETRY_MILLIS);
+				schedule(() -> readStore(sequence), RETRY_MILLIS);
 				return;
 			}
-			StorePosition before = StorePosition.of(this.replica.revision());
-			boolean applied = this.replica.reset(snapshot);
+			StorePosition before = this.replica.position();
+			boolean applied = resetReplica(snapshot, "store");
 			this.log.record(LogEvent.FACTS_READ, "position", snapshot.position(), "keys", snapshot.entries().size(),
 					"before", before, "applied", applied);
-			watchStore(CONFIRM_TIMEOUT_MILLIS);
+			watchStore(CONFIRM_TIMEOUT_MILLIS, sequence);
 		});
 	}
 
-	private void watchStore() {
+	private void readStore(int sequence) {
+		if (sequence == this.watchSequence) {
+			loadSnapshot(this.store.read("", 0), sequence);
+		}
+	}
+
+	private boolean resetReplica(PlatformStore.Snapshot snapshot, String source) {
+		StorePosition before = this.replica.position();
+		boolean applied = this.replica.reset(snapshot, EventLoop.nowMillis());
+		if (applied && before.era() > 0 && before.precedesEraOf(snapshot.position())) {
+			this.log.record(LogEvent.STORE_RESTORED, "before", before, "position", snapshot.position(), "source",
+					source, "keys", snapshot.entries().size(), "retained", this.replica.retainedCount());
+		}
+		return applied;
+	}
+
+	private void watchStore(int sequence) {
+		if (sequence != this.watchSequence) {
+			return;
+		}
 		if (readerUpToDate()) {
-			schedule(this::watchStore, READER_CHECK_MILLIS);
+			schedule(() -> watchStore(sequence), READER_CHECK_MILLIS);
 		}
 		else {
-			watchStore(WATCH_TIMEOUT_MILLIS);
+			watchStore(WATCH_TIMEOUT_MILLIS, sequence);
 		}
 	}
 
-	private void watchStore(long waitMillis) {
-		handle(this.store.changes(StorePosition.of(this.replica.revision()), waitMillis), (changes, failure) -> {
+	private void watchStore(long waitMillis, int sequence) {
+		handle(this.store.changes(this.replica.position(), waitMillis), sequence, (changes, failure) -> {
 			if (failure == null) {
 				storeAnswered();
 				apply(changes);
-				schedule(this::watchStore, coalesceMillis());
+				schedule(() -> watchStore(sequence), coalesceMillis());
 			}
 			else if (ServingException.from(failure).code() == FailureCode.CONFLICT) {
-				loadSnapshot(this.store.read("", 0));
+				readStore(sequence);
 			}
 			else {
 				storeFailed(failure);
-				schedule(this::watchStore, RETRY_MILLIS);
+				schedule(() -> watchStore(sequence), RETRY_MILLIS);
 			}
 		});
 	}
@@ -234,6 +305,10 @@
 	}
 
 	private boolean readerUpToDate() {
+		return readerAnswers() && !this.store.isPast(this.replica.position().era());
+	}
+
+	private boolean readerAnswers() {
 		return reader().isPresent() && EventLoop.nowMillis() - this.lastReaderAnswerMillis < READER_TIMEOUT_MILLIS;
 	}
 
@@ -263,20 +338,20 @@
 		this.confirmedMillis = EventLoop.nowMillis();
 		if (!this.storeAvailable) {
 			this.storeAvailable = true;
-			this.log.record(LogEvent.PLATFORM_BACK, "revision", this.replica.revision());
+			this.log.record(LogEvent.PLATFORM_BACK, "position", this.replica.position());
 		}
 	}
 
 	private void storeFailed(Throwable failure) {
 		if (this.storeAvailable) {
 			this.storeAvailable = false;
-			this.log.record(LogEvent.PLATFORM_LOST, "reason", ServingException.from(failure).getMessage(), "revision",
-					this.replica.revision());
+			this.log.record(LogEvent.PLATFORM_LOST, "reason", ServingException.from(failure).getMessage(), "position",
+					this.replica.position());
 		}
 	}
 
 	private void apply(WatchableStore.Changes changes) {
-		this.replica.apply(changes);
+		this.replica.apply(changes, EventLoop.nowMillis());
 		answerFollowers();
 		if (this.replica.changedSinceTaken()) {
 			publishView();
@@ -293,7 +368,7 @@
 	}
 
 	private void syncWithRandomPeer() {
-		if (storeAgeMillis() < MAX_STORE_AGE_MILLIS) {
+		if (storeAgeMillis() < MAX_STORE_AGE_MILLIS && EventLoop.nowMillis() > this.orientedAtMillis) {
 			return;
 		}
 		List<Address> others = this.view.members()
@@ -308,7 +383,8 @@
 	}
 
 	private CompletableFuture<PeerFrame.Facts> requestFacts(Address peer, long waitMillis) {
-		PeerFrame question = new PeerFrame.FactsQuestion(this.replica.revision(), waitMillis);
+		PeerFrame question = new PeerFrame.FactsQuestion(this.replica.position().revision(), waitMillis,
+				this.replica.position().era(), this.view.configurationVersion());
 		return this.peers.ask(peer, question, waitMillis + PEER_TIMEOUT_MILLIS).handleAsync((answer, failure) -> {
 			if (answer instanceof PeerFrame.Facts facts) {
 				applyFacts(peer, facts);
@@ -323,32 +399,49 @@
 	}
 
 	private void applyFacts(Address peer, PeerFrame.Facts facts) {
-		if (facts.revision() >= this.replica.revision()) {
-			this.confirmedMillis = Math.max(this.confirmedMillis, EventLoop.nowMillis() - facts.storeAgeMillis());
-		}
-		if (facts.revision() <= this.replica.revision()) {
+		this.store.observe(facts.era());
+		StorePosition position = facts.position();
+		if (this.store.isPast(position.era())) {
+			this.log.record(LogEvent.PEER_FAILED, "peer", peer, "reason",
+					(position.era() > 0) ? "its content of the store is of the earlier era " + position.era()
+							: "it doesn't state the era of its content of the store");
 			return;
 		}
-		boolean changed = facts.whole()
-				? this.replica.reset(new PlatformStore.Snapshot(facts.revision(), facts.facts()
-					.stream()
-					.map((fact) -> new PlatformStore.Entry(fact.key(), fact.revision(), FactCompressor.valueOf(fact)))
-					.toList()))
-				: this.replica.apply(new WatchableStore.Changes(StorePosition.of(facts.revision()),
+		if (!this.replica.position().isAfter(position)) {
+			this.confirmedMillis = Math.max(this.confirmedMillis, EventLoop.nowMillis() - facts.storeAgeMillis());
+		}
+		if (position.isAfter(this.replica.position())) {
+			if (facts.whole()) {
+				resetReplica(new PlatformStore.Snapshot(position, entriesOf(facts.facts())), peer.toString());
+			}
+			else {
+				this.replica.apply(new WatchableStore.Changes(position,
 						facts.facts()
 							.stream()
-							.map((fact) -> new WatchableStore.Change(fact.key(), StorePosition.of(fact.revision()),
+							.map((fact) -> new WatchableStore.Change(fact.key(), position.at(fact.revision()),
 									FactCompressor.valueOf(fact)))
-							.toList()));
-		answerFollowers();
-		if (changed) {
+							.toList()),
+						EventLoop.nowMillis());
+			}
+			answerFollowers();
+		}
+		if (facts.retained() != null) {
+			entriesOf(facts.retained()).forEach(this.replica::retainFromPeer);
+		}
+		if (this.replica.changedSinceTaken()) {
 			if (!this.storeAvailable) {
-				this.log.record(LogEvent.FACTS_FROM_PEER, "peer", peer, "revision", facts.revision());
+				this.log.record(LogEvent.FACTS_FROM_PEER, "peer", peer, "position", position);
 			}
 			publishView();
 		}
 	}
 
+	private static List<PlatformStore.Entry> entriesOf(List<PeerFrame.Fact> facts) {
+		return facts.stream()
+			.map((fact) -> new PlatformStore.Entry(fact.key(), fact.position(), FactCompressor.valueOf(fact)))
+			.toList();
+	}
+
 	private CompletableFuture<PeerFrame> handleFrame(PeerFrame frame) {
 		if (!(frame instanceof PeerFrame.FactsQuestion question)) {
 			return this.otherFrames.apply(frame);
@@ -359,15 +452,16 @@
 	}
 
 	private void answerOrHold(PeerFrame.FactsQuestion question, CompletableFuture<PeerFrame> reply) {
-		if (question.waitMillis() <= 0 || question.afterRevision() < this.replica.revision()) {
-			reply.complete(factsAfter(question.afterRevision()));
+		this.store.observe(question.era());
+		if (question.waitMillis() <= 0 || this.replica.position().isAfter(question.after())) {
+			reply.complete(factsFor(question));
 			return;
 		}
-		WaitingFollower follower = new WaitingFollower(question.afterRevision(), reply);
+		WaitingFollower follower = new WaitingFollower(question, reply);
 		this.waitingFollowers.add(follower);
 		Future<?> end = this.control.schedule(() -> {
 			this.waitingFollowers.remove(follower);
-			reply.complete(factsAfter(question.afterRevision()));
+			reply.complete(factsFor(question));
 		}, Math.min(question.waitMillis(), READER_WAIT_MILLIS), TimeUnit.MILLISECONDS);
 		reply.whenComplete((facts, failure) -> end.cancel(false));
 	}
@@ -376,32 +470,40 @@
 	private void answerFollowers() {
 		List<WaitingFollower> waiting = List.copyOf(this.waitingFollowers);
 		this.waitingFollowers.clear();
-		waiting.forEach((follower) -> follower.reply().complete(factsAfter(follower.afterRevision())));
+		waiting.forEach((follower) -> follower.reply().complete(factsFor(follower.question())));
 	}
 
-	// Replies with the changes after a revision, or with all entries if the history no
+	// Replies with the changes after a position, or with all entries if the history no
 	// longer includes those changes.
-	private PeerFrame factsAfter(long revision) {
-		long storeAge = storeAgeMillis();
-		return this.replica.changesAfter(revision)
-			.map((changes) -> new PeerFrame.Facts(changes.position().revision(), storeAge, false, changes.changes()
+	private PeerFrame factsFor(PeerFrame.FactsQuestion question) {
+		StorePosition position = this.replica.position();
+		Optional<WatchableStore.Changes> changes = this.replica.changesAfter(question.after());
+		List<PeerFrame.Fact> facts = changes
+			.map((missing) -> missing.changes()
 				.stream()
-				.map((change) -> this.compressor.encode(change.key(), change.position().revision(), change.value()))
-				.toList()))
-			.orElseGet(() -> new PeerFrame.Facts(this.replica.revision(), storeAge, true,
-					this.replica.entries()
-						.stream()
-						.map((entry) -> this.compressor.encode(entry.key(), entry.revision(), entry.value()))
-						.toList()));
+				.map((change) -> this.compressor.encode(change.key(), change.position(), change.value()))
+				.toList())
+			.orElseGet(() -> encode(this.replica.storedEntries()));
+		boolean lacksConfiguration = question.configurationVersion() < this.view.configurationVersion();
+		List<PeerFrame.Fact> retained = (changes.isEmpty() || lacksConfiguration)
+				? encode(this.replica.retainedForPeers()) : List.of();
+		return new PeerFrame.Facts(position.revision(), storeAgeMillis(), changes.isEmpty(), facts, position.era(),
+				retained);
+	}
+
+	private List<PeerFrame.Fact> encode(Collection<PlatformStore.Entry> entries) {
+		return entries.stream()
+			.map((entry) -> this.compressor.encode(entry.key(), entry.position(), entry.value()))
+			.toList();
 	}
 
 	/**
 	 * A follower's request that waits for a change.
 	 *
-	 * @param afterRevision the revision that the follower has
+	 * @param question the request
 	 * @param reply receives the facts
 	 */
-	private record WaitingFollower(long afterRevision, CompletableFuture<PeerFrame> reply) {
+	private record WaitingFollower(PeerFrame.FactsQuestion question, CompletableFuture<PeerFrame> reply) {
 
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
@@ -12,7 +12,6 @@
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.PlatformStore;
 import org.monsoonvalve.core.connection.StoreLease;
-import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.Codec;
 import org.monsoonvalve.core.process.LeaseElection;
 import org.monsoonvalve.core.process.LogEvent;
@@ -22,6 +21,7 @@
 import org.monsoonvalve.gateway.version.FleetView;
 import org.monsoonvalve.gateway.version.GroupOrder;
 import org.monsoonvalve.gateway.version.HeadLiveness;
+import org.monsoonvalve.gateway.version.PlanRecovery;
 import org.monsoonvalve.gateway.version.ReplicaGroup;
 import org.monsoonvalve.gateway.version.ReplicaPlanner;
 import org.monsoonvalve.gateway.version.ServiceProfile;
@@ -154,8 +154,7 @@
 			return;
 		}
 		FleetView.PlannedGroups known = this.view.groupsOf(this.zone);
-		FleetView.PlannedGroups current = (this.lastStored != null && this.lastStored.revision() > known.revision())
-				? this.lastStored : known;
+		FleetView.PlannedGroups current = (this.lastStored != null) ? known.newest(this.lastStored) : known;
 		this.view.configuration()
 			.flatMap((configuration) -> configuration.services()
 				.stream()
@@ -176,10 +175,12 @@
 		Map<String, String> staging = this.executor.staging(endpoints);
 		// Each zone gets an equal share of the limit on concurrent loads, rounded up.
 		int concurrentLoads = -Math.floorDiv(-engine.concurrentLoads(), Math.max(1, this.settings.zones().size()));
-		ReplicaPlanner.Plan plan = ReplicaPlanner.plan(new ReplicaPlanner.ZoneSnapshot(this.zone, engine, answering,
-				current.groups(), headLiveness(current.groups()), this.executor::busy, staging,
-				Math.max(0, concurrentLoads - staging.size()), vmsInOtherZones()));
-		if (plan.groups().equals(current.groups())) {
+		long era = this.view.position().era();
+		ZoneGroups groups = PlanRecovery.recover(current.groups(), engine, endpoints, era).withEpochsAfter(0, era);
+		ReplicaPlanner.Plan plan = ReplicaPlanner
+			.plan(new ReplicaPlanner.ZoneSnapshot(this.zone, engine, answering, groups, headLiveness(groups),
+					this.executor::busy, staging, Math.max(0, concurrentLoads - staging.size()), vmsInOtherZones()));
+		if (current.stored() && plan.groups().equals(current.groups())) {
 			submitOrders(plan, engine);
 		}
 		else {
@@ -206,8 +207,8 @@
 	private void storeGroups(ReplicaPlanner.Plan plan, FleetView.PlannedGroups current) {
 		this.writePending = true;
 		this.store
-			.write(StoreKeys.GROUPS.key(this.zone), StorePosition.of(current.revision()),
-					Codec.JSON.encode(plan.groups()), StoreLease.NONE)
+			.write(StoreKeys.GROUPS.key(this.zone), current.position(), Codec.JSON.encode(plan.groups()),
+					StoreLease.NONE)
 			.whenCompleteAsync((result, failure) -> {
 				this.writePending = false;
 				if (failure != null) {
@@ -217,7 +218,11 @@
 				}
 				if (result.succeeded()) {
 					logChanges(plan, current.groups());
-					this.lastStored = new FleetView.PlannedGroups(plan.groups(), result.revision());
+					if (!current.stored()) {
+						this.log.record(LogEvent.RECORD_REWRITTEN, "record", "groups of " + this.zone, "position",
+								result.position());
+					}
+					this.lastStored = new FleetView.PlannedGroups(plan.groups(), result.position());
 					step();
 				}
 			}, this.control);
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
@@ -142,7 +142,8 @@
 		catch (ServingException ex) {
 			String requestId = call.headers().get(this.names.requestId()).orElse("");
 			this.log.record(LogEvent.REQUEST_REFUSED, "request", requestId, "code", ex.code().code(), "reason",
-					ex.getMessage(), "view", this.endpoints.view().revision());
+					ex.getMessage(), "view", this.endpoints.view().position(), "configuration",
+					this.endpoints.view().configurationVersion());
 			this.metrics.refused(ex.code());
 			refuse(call, requestId, ex);
 			return;
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -113,7 +113,7 @@
 			.record((this.attempts == 1) ? LogEvent.REQUEST_SENT : LogEvent.REQUEST_SENT_AGAIN, "request",
 					this.requestId, "endpoint", endpoint.record().id(), "reason", reason, "candidates",
 					candidates.size(), "load", endpoint.load(EventLoop.nowMillis()), "view",
-					this.dispatcher.endpoints().view().revision());
+					this.dispatcher.endpoints().view().position());
 		Attempt attempt = new Attempt(this, this.dispatcher, endpoint);
 		this.currentAttempt = attempt;
 		attempt.connect();
@@ -190,7 +190,8 @@
 			.record(this.mayHaveRun ? LogEvent.REQUEST_FAILED : LogEvent.REQUEST_REFUSED, "request", this.requestId,
 					"code", reported.code().code(), "reason", failure.getMessage(), "candidates", candidates, "sends",
 					this.attempts, "age_ms", EventLoop.nowMillis() - this.startMillis, "view",
-					this.dispatcher.endpoints().view().revision(), "part",
+					this.dispatcher.endpoints().view().position(), "configuration",
+					this.dispatcher.endpoints().view().configurationVersion(), "part",
 					(failure instanceof PromptBlockedException blocked) ? blocked.part() : "");
 		this.dispatcher.metrics().failed(this.route, reported.code());
 		if (this.response.started()) {
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/EndpointRecord.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/EndpointRecord.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.StorePosition;
 
 /**
  * The record that an endpoint publishes about itself in the platform's store.
@@ -24,11 +25,11 @@
  * @param staged the models whose weights are on its host
  * @param models the models that its engine has loaded
  * @param membership its membership in a replica group, empty if it is in none
- * @param revision the store's revision of this record
+ * @param position the store's position at which the record was written
  */
 public record EndpointRecord(String id, String service, Address address, String zone, int slots, boolean draining,
 		long coldMillis, long bornMillis, String domain, List<String> staged, List<String> models,
-		Optional<GroupMembership> membership, long revision) {
+		Optional<GroupMembership> membership, StorePosition position) {
 
 	/**
 	 * Creates a record with copies of the lists.
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/FleetView.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/FleetView.java
@@ -7,22 +7,24 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import org.monsoonvalve.core.connection.StorePosition;
+
 /**
- * A process's view of the fleet at one revision of the platform's store.
+ * A process's view of the fleet at one position of the platform's store.
  *
  * @author monsoonvalve maintainers
- * @param revision the store's revision that this view includes
+ * @param position the store's position that this view includes
  * @param configuration the configuration, empty until one is received
- * @param configurationRevision the store's revision of the configuration
+ * @param configurationPosition the store's position of the configuration
  * @param evacuatedZones the availability zones that operators have taken out of service
  * @param endpoints the endpoints by identifier
  * @param members the processes of this system by name
  * @param groups the planned groups by availability zone
  * @param roleHolders the names of the processes that hold a lease on a role, by role
  */
-public record FleetView(long revision, Optional<ServingConfiguration> configuration, long configurationRevision,
-		Set<String> evacuatedZones, Map<String, EndpointRecord> endpoints, Map<String, Member> members,
-		Map<String, PlannedGroups> groups, Map<String, String> roleHolders) {
+public record FleetView(StorePosition position, Optional<ServingConfiguration> configuration,
+		StorePosition configurationPosition, Set<String> evacuatedZones, Map<String, EndpointRecord> endpoints,
+		Map<String, Member> members, Map<String, PlannedGroups> groups, Map<String, String> roleHolders) {
 
 	/**
 	 * Creates a view with copies of the collections.
@@ -40,16 +42,25 @@
 	 * @return the empty view
 	 */
 	public static FleetView empty() {
-		return new FleetView(0, Optional.empty(), 0, Set.of(), Map.of(), Map.of(), Map.of(), Map.of());
+		return new FleetView(StorePosition.NONE, Optional.empty(), StorePosition.NONE, Set.of(), Map.of(), Map.of(),
+				Map.of(), Map.of());
+	}
+
+	/**
+	 * Returns the version of the configuration.
+	 * @return the version, 0 until a configuration is received
+	 */
+	public long configurationVersion() {
+		return this.configuration.map(ServingConfiguration::version).orElse(0L);
 	}
 
 	/**
 	 * Returns the planned groups of a zone.
 	 * @param zone the zone
-	 * @return its groups, none under revision 0 if no value is stored
+	 * @return its groups, none if no value is stored
 	 */
 	public PlannedGroups groupsOf(String zone) {
-		return this.groups.getOrDefault(zone, new PlannedGroups(ZoneGroups.empty(), 0));
+		return this.groups.getOrDefault(zone, PlannedGroups.none());
 	}
 
 	/**
@@ -120,25 +131,32 @@
 	}
 
 	/**
-	 * The planned groups of a zone with the revision that an update must match, indexed
+	 * The planned groups of a zone with the position that an update must match, indexed
 	 * by member.
 	 */
 	public static final class PlannedGroups {
 
 		private final ZoneGroups groups;
 
-		private final long revision;
+		private final StorePosition position;
+
+		private final boolean stored;
 
 		private final Map<ReplicaGroup.MemberVm, ReplicaGroup> groupByMember;
 
 		/**
-		 * Creates a value.
+		 * Creates a value that the store holds.
 		 * @param groups the groups
-		 * @param revision the store's revision of the value, 0 if there is none
+		 * @param position the store's position of the value
 		 */
-		public PlannedGroups(ZoneGroups groups, long revision) {
+		public PlannedGroups(ZoneGroups groups, StorePosition position) {
+			this(groups, position, true);
+		}
+
+		private PlannedGroups(ZoneGroups groups, StorePosition position, boolean stored) {
 			this.groups = groups;
-			this.revision = revision;
+			this.position = position;
+			this.stored = stored;
 			this.groupByMember = groups.groups()
 				.stream()
 				.flatMap((group) -> group.members().stream().map((member) -> Map.entry(member, group)))
@@ -155,11 +173,53 @@
 		}
 
 		/**
-		 * Returns the revision that an update must match.
-		 * @return the store's revision of the value, 0 if there is none
+		 * Returns the value of a zone without groups.
+		 * @return the empty value, which the store doesn't hold
+		 */
+		static PlannedGroups none() {
+			return new PlannedGroups(ZoneGroups.empty(), StorePosition.NONE);
+		}
+
+		/**
+		 * Returns a value that the store has lost.
+		 * @param groups the groups
+		 * @param position the position at which the store holds an older value,
+		 * {@link StorePosition#NONE} if it holds none
+		 * @return the value
+		 */
+		public static PlannedGroups lost(ZoneGroups groups, StorePosition position) {
+			return new PlannedGroups(groups, position, false);
+		}
+
+		/**
+		 * Returns the newer one of two values of a zone. Positions of different eras
+		 * don't tell their order; the versions of the groups do.
+		 * @param written a value that was written by this process
+		 * @return this value, or the written one with the position that an update must
+		 * match
+		 */
+		public PlannedGroups newest(PlannedGroups written) {
+			if (!written.position.precedesEraOf(this.position)) {
+				return written.position.isAfter(this.position) ? written : this;
+			}
+			return (written.groups.version() > this.groups.version()) ? lost(written.groups, this.position) : this;
+		}
+
+		/**
+		 * Returns the position that an update must match.
+		 * @return the store's position of the value, {@link StorePosition#NONE} if there
+		 * is none
+		 */
+		public StorePosition position() {
+			return this.position;
+		}
+
+		/**
+		 * Tells whether the store holds the groups.
+		 * @return {@code false} if it has lost them and they must be written again
 		 */
-		public long revision() {
-			return this.revision;
+		public boolean stored() {
+			return this.stored;
 		}
 
 		/**
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/Member.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/Member.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 
 import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.StorePosition;
 
 /**
  * A process of the system, as registered in the platform's store.
@@ -12,26 +13,27 @@
  * @param name the process's name, unique in the system
  * @param zone its availability zone
  * @param peerAddress the address at which it accepts frames from its peers
- * @param registeredRevision the store's revision of the registration, 0 before it is
- * stored; a process that restarts registers again
+ * @param registered the store's position of the registration, {@link StorePosition#NONE}
+ * before it is stored; a process that restarts registers again
  */
-public record Member(String name, String zone, Address peerAddress, long registeredRevision) {
+public record Member(String name, String zone, Address peerAddress, StorePosition registered) {
 
 	/**
 	 * Orders processes by the time for which they have been registered, the longest
 	 * first.
 	 */
-	public static final Comparator<Member> BY_SENIORITY = Comparator.comparingLong(Member::registeredRevision)
+	public static final Comparator<Member> BY_SENIORITY = Comparator.comparing(Member::registered)
 		.thenComparing(Member::name);
 
 	/**
-	 * Creates a member.
-	 * @throws NullPointerException if a component is {@code null}
+	 * Creates a member; a {@code null} position becomes {@link StorePosition#NONE}.
+	 * @throws NullPointerException if another component is {@code null}
 	 */
 	public Member {
 		Objects.requireNonNull(name, "name");
 		Objects.requireNonNull(zone, "zone");
 		Objects.requireNonNull(peerAddress, "peerAddress");
+		registered = Objects.requireNonNullElse(registered, StorePosition.NONE);
 	}
 
 	/**
@@ -42,16 +44,16 @@
 	 * @return the member
 	 */
 	public static Member of(String name, String zone, Address peerAddress) {
-		return new Member(name, zone, peerAddress, 0);
+		return new Member(name, zone, peerAddress, StorePosition.NONE);
 	}
 
 	/**
-	 * Returns a copy with the revision of the stored registration.
-	 * @param revision the store's revision
+	 * Returns a copy with the position of the stored registration.
+	 * @param position the store's position
 	 * @return the copy
 	 */
-	public Member registeredAt(long revision) {
-		return new Member(this.name, this.zone, this.peerAddress, revision);
+	public Member registeredAt(StorePosition position) {
+		return new Member(this.name, this.zone, this.peerAddress, position);
 	}
 
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ZoneGroups.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ZoneGroups.java
@@ -15,8 +15,16 @@
  * @author monsoonvalve maintainers
  * @param lastEpoch the highest epoch assigned so far
  * @param groups the groups
+ * @param version the number of changes so far, by which two values of a zone are ordered
+ * whatever the store's positions are
  */
-public record ZoneGroups(long lastEpoch, List<ReplicaGroup> groups) {
+public record ZoneGroups(long lastEpoch, List<ReplicaGroup> groups, long version) {
+
+	/**
+	 * Number of epochs of each era of the store. Epochs of different eras are disjoint,
+	 * so that none is assigned twice although the store loses the groups of one.
+	 */
+	static final long EPOCHS_PER_ERA = 1_000_000;
 
 	/**
 	 * Creates a value with a copy of the groups.
@@ -30,7 +38,7 @@
 	 * @return the empty value
 	 */
 	public static ZoneGroups empty() {
-		return new ZoneGroups(0, List.of());
+		return new ZoneGroups(0, List.of(), 0);
 	}
 
 	/**
@@ -44,7 +52,7 @@
 		long epoch = this.lastEpoch + 1;
 		List<ReplicaGroup> all = new ArrayList<>(this.groups);
 		all.add(ReplicaGroup.of(zone + "-" + epoch, epoch, model, members));
-		return new ZoneGroups(epoch, all);
+		return new ZoneGroups(epoch, all, this.version + 1);
 	}
 
 	/**
@@ -54,7 +62,7 @@
 	 */
 	public ZoneGroups without(String name) {
 		return new ZoneGroups(this.lastEpoch,
-				this.groups.stream().filter((group) -> !group.name().equals(name)).toList());
+				this.groups.stream().filter((group) -> !group.name().equals(name)).toList(), this.version + 1);
 	}
 
 	/**
@@ -67,7 +75,33 @@
 		return new ZoneGroups(this.lastEpoch,
 				this.groups.stream()
 					.map((group) -> group.name().equals(name) ? group.preemptedBy(successor) : group)
-					.toList());
+					.toList(),
+				this.version + 1);
+	}
+
+	/**
+	 * Returns a copy whose next epoch is higher than a given one and belongs to an era of
+	 * the store.
+	 * @param epoch an epoch that was assigned
+	 * @param era the era of the store
+	 * @return the copy, or this value if its last epoch is high enough
+	 */
+	public ZoneGroups withEpochsAfter(long epoch, long era) {
+		long last = Math.max(epoch, era * EPOCHS_PER_ERA);
+		return (last <= this.lastEpoch) ? this : new ZoneGroups(last, this.groups, this.version + 1);
+	}
+
+	/**
+	 * Returns a copy with a group that engines report and the plan lacks, in place of
+	 * those that share a member with it.
+	 * @param found the group
+	 * @return the changed copy
+	 */
+	ZoneGroups withReported(ReplicaGroup found) {
+		List<ReplicaGroup> all = new ArrayList<>(this.groups);
+		all.removeIf((group) -> group.members().stream().anyMatch(found.members()::contains));
+		all.add(found);
+		return new ZoneGroups(Math.max(this.lastEpoch, found.epoch()), all, this.version + 1);
 	}
 
 	/**
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointSetTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointSetTests.java
@@ -13,6 +13,7 @@
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.HttpClient;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.gateway.process.DecisionLog;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.FleetView;
@@ -47,9 +48,11 @@
 		}), log);
 		Map<String, EndpointRecord> records = new HashMap<>();
 		IntStream.range(0, ENDPOINTS)
-			.forEach((i) -> records.put("vm-" + i, new EndpointRecord("vm-" + i, "s", new Address("127.0.0.1", 1),
-					(i % 2 == 0) ? "near" : "far", 6, false, 0, 1, "", List.of(), List.of(), Optional.empty(), 1)));
-		this.endpoints.update(new FleetView(1, Optional.empty(), 0, Set.of(), records, Map.of(), Map.of(), Map.of()));
+			.forEach((i) -> records.put("vm-" + i,
+					new EndpointRecord("vm-" + i, "s", new Address("127.0.0.1", 1), (i % 2 == 0) ? "near" : "far", 6,
+							false, 0, 1, "", List.of(), List.of(), Optional.empty(), StorePosition.of(1))));
+		this.endpoints.update(new FleetView(StorePosition.of(1), Optional.empty(), StorePosition.of(0), Set.of(),
+				records, Map.of(), Map.of(), Map.of()));
 	}
 
 	@AfterMethod
@@ -76,7 +79,7 @@
 
 	private static EndpointRecord engine(String id, String zone, boolean draining, GroupMembership membership) {
 		return new EndpointRecord(id, "m", new Address("127.0.0.1", 1), zone, 6, draining, 0, 1, "d1", List.of("small"),
-				List.of("small"), Optional.ofNullable(membership), 1);
+				List.of("small"), Optional.ofNullable(membership), StorePosition.of(1));
 	}
 
 	@Test
@@ -92,17 +95,20 @@
 				engine("d", "near", false, null),
 				engine("e", "far", false, new GroupMembership("far-1", 1, 0, GroupState.OPEN)))
 			.forEach((record) -> records.put(record.id(), record));
-		Map<String, FleetView.PlannedGroups> groups = Map.of("near", new FleetView.PlannedGroups(near, 1), "far",
-				new FleetView.PlannedGroups(far, 1));
-		this.endpoints
-			.update(new FleetView(2, Optional.empty(), 0, Set.of("far"), records, Map.of(), groups, Map.of()));
+		Map<String, FleetView.PlannedGroups> groups = Map.of("near",
+				new FleetView.PlannedGroups(near, StorePosition.of(1)), "far",
+				new FleetView.PlannedGroups(far, StorePosition.of(1)));
+		this.endpoints.update(new FleetView(StorePosition.of(2), Optional.empty(), StorePosition.of(0), Set.of("far"),
+				records, Map.of(), groups, Map.of()));
 		Assert.assertEquals(ids("m", Optional.of("small")), List.of("a"));
 		Assert.assertEquals(ids("m", Optional.of("large")), List.of());
 		Assert.assertEquals(ids("s", Optional.empty()), List.of());
-		this.endpoints.update(new FleetView(3, Optional.empty(), 0, Set.of(), records, Map.of(), groups, Map.of()));
+		this.endpoints.update(new FleetView(StorePosition.of(3), Optional.empty(), StorePosition.of(0), Set.of(),
+				records, Map.of(), groups, Map.of()));
 		Assert.assertEquals(ids("m", Optional.of("small")), List.of("a", "e"));
 		records.put("a", engine("a", "near", true, new GroupMembership("near-1", 1, 0, GroupState.OPEN)));
-		this.endpoints.update(new FleetView(4, Optional.empty(), 0, Set.of(), records, Map.of(), groups, Map.of()));
+		this.endpoints.update(new FleetView(StorePosition.of(4), Optional.empty(), StorePosition.of(0), Set.of(),
+				records, Map.of(), groups, Map.of()));
 		Assert.assertEquals(ids("m", Optional.of("small")), List.of("e"));
 	}
 
@@ -112,7 +118,8 @@
 	public void aHeadFollowsTheMembersOfItsGroup() {
 		ZoneGroups planned = ZoneGroups.empty()
 			.with("near", "small", List.of(new ReplicaGroup.MemberVm("a", 1), new ReplicaGroup.MemberVm("b", 1)));
-		Map<String, FleetView.PlannedGroups> groups = Map.of("near", new FleetView.PlannedGroups(planned, 1));
+		Map<String, FleetView.PlannedGroups> groups = Map.of("near",
+				new FleetView.PlannedGroups(planned, StorePosition.of(1)));
 		EndpointRecord head = engine("a", "near", false, new GroupMembership("near-1", 1, 0, GroupState.OPEN));
 		EndpointRecord member = engine("b", "near", false, new GroupMembership("near-1", 1, 1, GroupState.READY));
 		updateGroups(3, Map.of("a", head, "b", member), Map.of());
@@ -142,8 +149,8 @@
 
 	private void updateGroups(long revision, Map<String, EndpointRecord> records,
 			Map<String, FleetView.PlannedGroups> groups) {
-		this.endpoints
-			.update(new FleetView(revision, Optional.empty(), 0, Set.of(), records, Map.of(), groups, Map.of()));
+		this.endpoints.update(new FleetView(StorePosition.of(revision), Optional.empty(), StorePosition.of(0), Set.of(),
+				records, Map.of(), groups, Map.of()));
 	}
 
 	@Test
@@ -152,7 +159,7 @@
 		EndpointRecord before = first.record();
 		first.requestStarted();
 		EndpointRecord after = new EndpointRecord(before.id(), "s", before.address(), before.zone(), 6, false, 0, 2, "",
-				List.of(), List.of(), Optional.empty(), 2);
+				List.of(), List.of(), Optional.empty(), StorePosition.of(2));
 		updateGroups(3, Map.of(after.id(), after), Map.of());
 		List<Endpoint> eligible = this.endpoints.eligible("s", Optional.empty());
 		Assert.assertEquals(eligible.size(), 1);
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/connection/EndpointTests.java
@@ -6,6 +6,7 @@
 
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.EventLoop;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -22,7 +23,7 @@
 
 	private static Endpoint endpoint(int slots) {
 		return new Endpoint(new EndpointRecord("vm-1", "s", new Address("127.0.0.1", 1), "near", slots, false, 0, 1, "",
-				List.of(), List.of(), Optional.empty(), 1), null, () -> {
+				List.of(), List.of(), Optional.empty(), StorePosition.of(1)), null, () -> {
 				});
 	}
 
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/EndpointLimitsTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/EndpointLimitsTests.java
@@ -15,6 +15,7 @@
 
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.PeerFrame;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.Member;
 import org.testng.Assert;
@@ -127,7 +128,7 @@
 			this.limit = OptionalDouble.of(perSecond);
 			this.endpoints = IntStream.range(0, ENDPOINTS)
 				.mapToObj((i) -> new EndpointRecord("vm-" + i, "s", new Address("10.1.0." + i, 1), "zone-" + i % 3, 12,
-						false, 0, 1, "", List.of(), List.of(), Optional.empty(), 1))
+						false, 0, 1, "", List.of(), List.of(), Optional.empty(), StorePosition.of(1)))
 				.toList();
 			IntStream.range(0, processCount).forEach((i) -> {
 				Process process = new Process(Member.of("edge-" + i, "zone-" + i % 3, new Address("10.0.0." + i, 1)));
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FactCompressorTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FactCompressorTests.java
@@ -6,6 +6,7 @@
 import java.util.stream.IntStream;
 
 import org.monsoonvalve.core.connection.PeerFrame;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.request.ServingException;
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -45,7 +46,7 @@
 	@Test
 	public void aLargeConfigurationDoesNotOccupyTheLinkOfASmallVmForSeconds() {
 		byte[] value = configuration(1);
-		PeerFrame.Fact fact = this.compressor.encode("config", 7, value);
+		PeerFrame.Fact fact = this.compressor.encode("config", StorePosition.of(7), value);
 		double seconds = 8.0 * fact.value().length * FOLLOWERS / LINK_BITS_PER_SECOND;
 		Assert.assertTrue(seconds < MAX_SECONDS_OF_LINK, seconds + " s for " + value.length + " bytes");
 		Assert.assertEquals(FactCompressor.valueOf(fact), value);
@@ -53,27 +54,30 @@
 
 	@Test
 	public void aValueIsCompressedOnceForEachRevision() {
-		PeerFrame.Fact first = this.compressor.encode("config", 7, configuration(1));
-		Assert.assertSame(this.compressor.encode("config", 7, configuration(1)).value(), first.value());
+		PeerFrame.Fact first = this.compressor.encode("config", StorePosition.of(7), configuration(1));
+		Assert.assertSame(this.compressor.encode("config", StorePosition.of(7), configuration(1)).value(),
+				first.value());
 		byte[] newer = configuration(2);
-		Assert.assertEquals(FactCompressor.valueOf(this.compressor.encode("config", 8, newer)), newer);
+		Assert.assertEquals(FactCompressor.valueOf(this.compressor.encode("config", StorePosition.of(8), newer)),
+				newer);
 	}
 
 	@Test
 	public void smallValuesAndRemovalsAreSentAsTheyAre() {
-		Assert.assertFalse(this.compressor.encode("k", 1, new byte[100]).deflated());
-		Assert.assertNull(FactCompressor.valueOf(this.compressor.encode("k", 2, null)));
+		Assert.assertFalse(this.compressor.encode("k", StorePosition.of(1), new byte[100]).deflated());
+		Assert.assertNull(FactCompressor.valueOf(this.compressor.encode("k", StorePosition.of(2), null)));
 	}
 
 	@Test
 	public void malformedAndOversizedValuesAreRefused() {
-		PeerFrame.Fact whole = this.compressor.encode("config", 7, configuration(1));
+		PeerFrame.Fact whole = this.compressor.encode("config", StorePosition.of(7), configuration(1));
 		byte[] half = Arrays.copyOf(whole.value(), whole.value().length / 2);
 		Assert.assertThrows(ServingException.class,
-				() -> FactCompressor.valueOf(new PeerFrame.Fact("config", 7, half, true)));
+				() -> FactCompressor.valueOf(new PeerFrame.Fact("config", 7, half, true, 0)));
 		Assert.assertThrows(ServingException.class,
-				() -> FactCompressor.valueOf(new PeerFrame.Fact("config", 7, new byte[] { 1, 2, 3 }, true)));
-		PeerFrame.Fact oversized = this.compressor.encode("config", 8, new byte[FactCompressor.MAX_BYTES + 1]);
+				() -> FactCompressor.valueOf(new PeerFrame.Fact("config", 7, new byte[] { 1, 2, 3 }, true, 0)));
+		PeerFrame.Fact oversized = this.compressor.encode("config", StorePosition.of(8),
+				new byte[FactCompressor.MAX_BYTES + 1]);
 		Assert.assertThrows(ServingException.class, () -> FactCompressor.valueOf(oversized));
 	}
 
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FactsUpstreamTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FactsUpstreamTests.java
@@ -7,6 +7,7 @@
 import java.util.stream.Stream;
 
 import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.gateway.version.Member;
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -19,7 +20,8 @@
 
 	private static Member member(String zone, int index) {
 		return new Member("gateway-" + zone + index, zone,
-				new Address("10.0." + (int) zone.charAt(0) + "." + index, 7000), 10 * zone.charAt(0) + index);
+				new Address("10.0." + (int) zone.charAt(0) + "." + index, 7000),
+				StorePosition.of(10 * zone.charAt(0) + index));
 	}
 
 	private static Optional<String> select(FactsUpstream upstream, long nowMillis) {
@@ -55,7 +57,7 @@
 	@Test
 	public void aRestartedProcessIsFollowedOnlyAfterAllOthers() {
 		List<Member> members = new ArrayList<>(MEMBERS);
-		members.set(0, members.get(0).registeredAt(10_000));
+		members.set(0, members.get(0).registeredAt(StorePosition.of(10_000)));
 		Assert.assertEquals(upstreamOf("b", 0).select(members, 0).map(Member::name), Optional.of("gateway-a1"));
 		Assert.assertEquals(upstreamOf("a", 2).select(members, 0).map(Member::name), Optional.of("gateway-a1"));
 		Assert.assertEquals(upstreamOf("a", 0).select(members, 0).map(Member::name), Optional.of("gateway-a1"));
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FleetViewBuilderTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FleetViewBuilderTests.java
@@ -2,20 +2,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 
-import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.PlatformStore;
 import org.monsoonvalve.core.connection.StorePosition;
-import org.monsoonvalve.gateway.version.ClientLimits;
-import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.FleetView;
-import org.monsoonvalve.gateway.version.ServingConfiguration;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -24,7 +18,10 @@
 
 	private static final int ENDPOINTS = 760;
 
-	private final List<String> decodedKeys = new ArrayList<>();
+	private final TextDecoder decoder = new TextDecoder();
+
+	private final DecisionLog log = DecisionLog.start(Clock.systemUTC(), "gateway-1", (line) -> {
+	});
 
 	private StoreReplica replica;
 
@@ -34,10 +31,9 @@
 
 	@BeforeMethod
 	public void createBuilder() {
-		this.replica = new StoreReplica();
-		this.builder = new FleetViewBuilder(new TextDecoder(),
-				DecisionLog.start(Clock.systemUTC(), "gateway-1", (line) -> {
-				}));
+		this.replica = new StoreReplica(new RecordRetention(this.decoder, this.log));
+		this.builder = new FleetViewBuilder(this.decoder, this.log);
+		this.decoder.decodedKeys().clear();
 		this.revision = 0;
 	}
 
@@ -46,7 +42,7 @@
 		byte[] bytes = (value != null) ? value.getBytes(StandardCharsets.UTF_8) : null;
 		StorePosition position = StorePosition.of(this.revision);
 		this.replica
-			.apply(new WatchableStore.Changes(position, List.of(new WatchableStore.Change(key, position, bytes))));
+			.apply(new WatchableStore.Changes(position, List.of(new WatchableStore.Change(key, position, bytes))), 0);
 		return this.builder.build(this.replica);
 	}
 
@@ -58,12 +54,13 @@
 		this.replica.reset(new PlatformStore.Snapshot(this.revision,
 				IntStream.range(0, ENDPOINTS)
 					.mapToObj((i) -> new PlatformStore.Entry("endpoints/vm-" + i, i + 1, new byte[] { 'e' }))
-					.toList()));
+					.toList()),
+				0);
 		FleetView first = this.builder.build(this.replica);
 		Assert.assertEquals(first.endpoints().size(), ENDPOINTS);
-		this.decodedKeys.clear();
+		this.decoder.decodedKeys().clear();
 		FleetView second = apply("endpoints/vm-7", "e");
-		Assert.assertEquals(this.decodedKeys, List.of("endpoints/vm-7"));
+		Assert.assertEquals(this.decoder.decodedKeys(), List.of("endpoints/vm-7"));
 		Assert.assertEquals(second.endpointsChangedSince(first), Set.of("vm-7"));
 		FleetView third = apply("monsoonvalve/leases/planner-kano-a", "gateway-1");
 		Assert.assertSame(third.endpoints(), second.endpoints());
@@ -76,7 +73,7 @@
 		apply("endpoints/vm-2", "e");
 		this.revision = 10;
 		this.replica.reset(new PlatformStore.Snapshot(10,
-				List.of(new PlatformStore.Entry("endpoints/vm-2", 2, new byte[] { 'e' }))));
+				List.of(new PlatformStore.Entry("endpoints/vm-2", 2, new byte[] { 'e' }))), 0);
 		FleetView view = this.builder.build(this.replica);
 		Assert.assertEquals(view.endpoints().keySet(), Set.of("vm-2"));
 		Assert.assertTrue(apply("endpoints/vm-2", null).endpoints().isEmpty());
@@ -99,42 +96,8 @@
 		Assert.assertEquals(apply("config", "c7").configuration().orElseThrow().version(), 7);
 		FleetView unusable = apply("config", "unreadable");
 		Assert.assertEquals(unusable.configuration().orElseThrow().version(), 7);
-		Assert.assertEquals(unusable.configurationRevision(), 1);
+		Assert.assertEquals(unusable.configurationPosition(), StorePosition.of(1));
 		Assert.assertEquals(apply("config", "c9").configuration().orElseThrow().version(), 9);
 	}
 
-	private final class TextDecoder implements EntryDecoder {
-
-		private static String text(PlatformStore.Entry entry) {
-			return new String(entry.value(), StandardCharsets.UTF_8);
-		}
-
-		@Override
-		public Optional<ServingConfiguration> configuration(PlatformStore.Entry entry) {
-			return Optional.of(text(entry))
-				.filter((text) -> text.startsWith("c"))
-				.map((text) -> ServingConfiguration.of(Long.parseLong(text.substring(1)), List.of(), List.of(),
-						Map.of(), false, new ClientLimits(1, 1, 1, 1)));
-		}
-
-		@Override
-		public Optional<String> evacuatedZone(PlatformStore.Entry entry) {
-			return Optional.empty();
-		}
-
-		@Override
-		public Optional<EndpointRecord> endpoint(PlatformStore.Entry entry) {
-			FleetViewBuilderTests.this.decodedKeys.add(entry.key());
-			if (text(entry).equals("throw")) {
-				throw new IllegalStateException("unexpected value");
-			}
-			return Optional.of(entry)
-				.filter((candidate) -> text(candidate).equals("e"))
-				.map((candidate) -> new EndpointRecord(candidate.key().substring("endpoints/".length()), "s",
-						new Address("127.0.0.1", 1), "kano-a", 6, false, 0, 1, "", List.of(), List.of(),
-						Optional.empty(), candidate.revision()));
-		}
-
-	}
-
 }
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/InMemoryStore.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/InMemoryStore.java
@@ -23,19 +23,40 @@
 
 	private final List<Watch> watches = new ArrayList<>();
 
-	private long revision = 1;
+	private StorePosition position = new StorePosition(1, 1);
 
-	synchronized long put(String key, byte[] value) {
-		this.revision++;
-		WatchableStore.Change change = new WatchableStore.Change(key, StorePosition.of(this.revision), value);
+	synchronized StorePosition put(String key, byte[] value) {
+		this.position = this.position.at(this.position.revision() + 1);
+		WatchableStore.Change change = new WatchableStore.Change(key, this.position, value);
 		this.entries.put(key, change);
 		this.history.add(change);
 		List.copyOf(this.watches).forEach(this::answer);
-		return this.revision;
+		return this.position;
+	}
+
+	// Takes a copy that the store can be restored from.
+	synchronized Copy copy() {
+		return new Copy(new TreeMap<>(this.entries), List.copyOf(this.history), this.position.revision());
+	}
+
+	// Goes back to a copy, in a new era.
+	synchronized void restore(Copy copy) {
+		long era = this.position.era() + 1;
+		this.entries.clear();
+		copy.entries().forEach((key, change) -> this.entries.put(key, inEra(change, era)));
+		this.history.clear();
+		copy.history().forEach((change) -> this.history.add(inEra(change, era)));
+		this.position = new StorePosition(era, copy.revision());
+		List.copyOf(this.watches).forEach(this::answer);
+	}
+
+	private static WatchableStore.Change inEra(WatchableStore.Change change, long era) {
+		return new WatchableStore.Change(change.key(), new StorePosition(era, change.position().revision()),
+				change.value());
 	}
 
 	private synchronized WatchableStore.Changes after(long afterRevision) {
-		return new WatchableStore.Changes(StorePosition.of(this.revision),
+		return new WatchableStore.Changes(this.position,
 				this.history.stream().filter((change) -> change.position().revision() > afterRevision).toList());
 	}
 
@@ -46,7 +67,10 @@
 
 	private synchronized CompletableFuture<WatchableStore.Changes> watch(long afterRevision, long waitMillis) {
 		Watch watch = new Watch(afterRevision, new CompletableFuture<>());
-		if (afterRevision < this.revision) {
+		if (afterRevision > this.position.revision()) {
+			watch.answer().completeExceptionally(new ServingException(FailureCode.CONFLICT, "unknown revision"));
+		}
+		else if (afterRevision < this.position.revision()) {
 			watch.answer().complete(after(afterRevision));
 		}
 		else {
@@ -64,6 +88,17 @@
 
 	}
 
+	/**
+	 * The content of the store at one time.
+	 *
+	 * @param entries the entries by key
+	 * @param history the changes so far
+	 * @param revision the revision
+	 */
+	record Copy(TreeMap<String, WatchableStore.Change> entries, List<WatchableStore.Change> history, long revision) {
+
+	}
+
 	/**
 	 * The store as one process sees it.
 	 */
@@ -94,7 +129,7 @@
 		@Override
 		public CompletableFuture<Snapshot> read(String prefix, long minRevision) {
 			synchronized (InMemoryStore.this) {
-				return unlessRefused(CompletableFuture.completedFuture(new Snapshot(InMemoryStore.this.revision,
+				return unlessRefused(CompletableFuture.completedFuture(new Snapshot(InMemoryStore.this.position,
 						InMemoryStore.this.entries.values()
 							.stream()
 							.map((change) -> new Entry(change.key(), change.position(), change.value()))
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/MemberProberTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/MemberProberTests.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 import org.monsoonvalve.gateway.version.EndpointRecord;
@@ -55,7 +56,8 @@
 
 	private static EndpointRecord vm(String id) {
 		return new EndpointRecord(id, "engines", new Address("10.0.0.1", 80), "kano-a", 12, false, 0, 1, "d1",
-				List.of(), List.of(), Optional.of(new GroupMembership("kano-a-9", 9, 0, GroupState.OPEN)), 1);
+				List.of(), List.of(), Optional.of(new GroupMembership("kano-a-9", 9, 0, GroupState.OPEN)),
+				StorePosition.of(1));
 	}
 
 	private void timeOutOldestProbe() {
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/OrderExecutorTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/OrderExecutorTests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 
 import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.GroupMembership;
 import org.monsoonvalve.gateway.version.GroupOrder;
@@ -31,7 +32,8 @@
 
 	private static EndpointRecord head(GroupState state, boolean draining, long revision) {
 		return new EndpointRecord("a", "engines", new Address("10.0.0.1", 80), "kano-a", 12, draining, 0, 1, "d1",
-				List.of(), List.of(), Optional.of(new GroupMembership("kano-a-9", 9, 0, state)), revision);
+				List.of(), List.of(), Optional.of(new GroupMembership("kano-a-9", 9, 0, state)),
+				StorePosition.of(revision));
 	}
 
 	private <T> T onControl(java.util.concurrent.Callable<T> task) throws Exception {
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/RoleCandidacyTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/RoleCandidacyTests.java
@@ -6,6 +6,7 @@
 import java.util.stream.IntStream;
 
 import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.gateway.version.Member;
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -15,7 +16,7 @@
 	private static final int PROCESSES = 95;
 
 	private static final List<Member> MEMBERS = IntStream.range(0, PROCESSES)
-		.mapToObj((i) -> new Member(name(i), "kano-a", new Address("10.0.0.1", 1), i))
+		.mapToObj((i) -> new Member(name(i), "kano-a", new Address("10.0.0.1", 1), StorePosition.of(i)))
 		.toList();
 
 	private static String name(int index) {
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
@@ -5,7 +5,6 @@
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -14,12 +13,10 @@
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.PeerFrame;
-import org.monsoonvalve.core.connection.PlatformStore;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.Codec;
-import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.FleetView;
 import org.monsoonvalve.gateway.version.Member;
-import org.monsoonvalve.gateway.version.ServingConfiguration;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -66,8 +63,8 @@
 		}
 	}
 
-	private void awaitEverywhere(List<Process> expected, long revision, long timeoutMillis) {
-		expected.forEach((process) -> await(timeoutMillis, () -> process.view.revision() >= revision));
+	private void awaitEverywhere(List<Process> expected, StorePosition position, long timeoutMillis) {
+		expected.forEach((process) -> await(timeoutMillis, () -> !position.isAfter(process.view.position())));
 	}
 
 	private int watchCalls(int process) {
@@ -80,7 +77,8 @@
 		int firstBefore = watchCalls(0);
 		int othersBefore = watchCalls(1) + watchCalls(2) + watchCalls(3);
 		for (int i = 0; i < 20; i++) {
-			awaitEverywhere(this.processes, this.store.put("endpoints/vm-" + i, new byte[] { 1 }), PROPAGATION_MILLIS);
+			awaitEverywhere(this.processes, this.store.put("endpoints/vm-" + i, new byte[] { 'e' }),
+					PROPAGATION_MILLIS);
 		}
 		Assert.assertTrue(watchCalls(0) > firstBefore, "the process that registered first watches");
 		Assert.assertEquals(watchCalls(1) + watchCalls(2) + watchCalls(3), othersBefore);
@@ -89,31 +87,31 @@
 	@Test
 	public void theOthersHaveAChangeInTimeAfterTheWatchingProcessIsLost() {
 		this.processes.get(0).stop();
-		long revision = this.store.put("endpoints/vm-1", new byte[] { 1 });
-		awaitEverywhere(this.processes.subList(1, 4), revision, RECOVERY_MILLIS);
+		StorePosition position = this.store.put("endpoints/vm-1", new byte[] { 'e' });
+		awaitEverywhere(this.processes.subList(1, 4), position, RECOVERY_MILLIS);
 	}
 
 	// The store answers all processes but the one that the others follow.
 	@Test
 	public void theOthersHaveAChangeInTimeWhenTheStoreRefusesTheWatchingProcess() {
 		this.processes.get(0).store.refused = true;
-		long revision = this.store.put("endpoints/vm-1", new byte[] { 1 });
-		awaitEverywhere(this.processes, revision, RECOVERY_MILLIS);
-		Assert.assertTrue(this.processes.get(0).view.revision() >= revision, "it has the change from a peer");
+		StorePosition position = this.store.put("endpoints/vm-1", new byte[] { 'e' });
+		awaitEverywhere(this.processes, position, RECOVERY_MILLIS);
+		Assert.assertTrue(!position.isAfter(this.processes.get(0).view.position()), "it has the change from a peer");
 	}
 
 	@Test
 	public void aRefusedFollowerStillHasEachChange() {
 		this.processes.get(3).store.refused = true;
-		awaitEverywhere(this.processes, this.store.put("endpoints/vm-1", new byte[] { 1 }), PROPAGATION_MILLIS);
+		awaitEverywhere(this.processes, this.store.put("endpoints/vm-1", new byte[] { 'e' }), PROPAGATION_MILLIS);
 	}
 
 	@Test
 	public void anUnexpectedErrorInOneUpdateDoesNotEndTheFollowing() {
 		this.processes.forEach((process) -> process.failNextUpdate = true);
-		this.store.put("endpoints/vm-1", new byte[] { 1 });
+		this.store.put("endpoints/vm-1", new byte[] { 'e' });
 		await(PROPAGATION_MILLIS, () -> this.processes.stream().noneMatch((process) -> process.failNextUpdate));
-		awaitEverywhere(this.processes, this.store.put("endpoints/vm-2", new byte[] { 1 }), RECOVERY_MILLIS);
+		awaitEverywhere(this.processes, this.store.put("endpoints/vm-2", new byte[] { 'e' }), RECOVERY_MILLIS);
 		int watchesBefore = watchCalls(0);
 		await(RECOVERY_MILLIS, () -> watchCalls(0) > watchesBefore + 1);
 	}
@@ -142,11 +140,11 @@
 			content.put("monsoonvalve/members/" + name, Codec.JSON.encode(Member.of(name, zone, address)));
 			this.store = content.client();
 			GatewaySettings settings = new GatewaySettings(name, zone, List.of("a", "b"), address, address, address,
-					address, address, new GatewaySettings.Bounds(8000, 0.2, 10_000, 100, 1.5, 5, 5000));
+					address, address, new GatewaySettings.Bounds(8000, 0.2, 10_000, 100, 1.5, 5, 5000), true);
 			DecisionLog log = DecisionLog.start(Clock.systemUTC(), name, (line) -> {
 			});
-			this.sync = new StoreSync(this.store, new EndpointDecoder(), settings, this.loop, this.control, log,
-					this::update, (frame) -> CompletableFuture.completedFuture(new PeerFrame.Ack()));
+			this.sync = new StoreSync(EraCheckedStore.of((onEra) -> this.store), new TextDecoder(), settings, this.loop,
+					this.control, log, this::update, (frame) -> CompletableFuture.completedFuture(new PeerFrame.Ack()));
 			this.sync.start();
 		}
 
@@ -172,24 +170,4 @@
 
 	}
 
-	private static final class EndpointDecoder implements EntryDecoder {
-
-		@Override
-		public Optional<ServingConfiguration> configuration(PlatformStore.Entry entry) {
-			return Optional.empty();
-		}
-
-		@Override
-		public Optional<String> evacuatedZone(PlatformStore.Entry entry) {
-			return Optional.empty();
-		}
-
-		@Override
-		public Optional<EndpointRecord> endpoint(PlatformStore.Entry entry) {
-			return Optional.of(new EndpointRecord(entry.key(), "s", new Address("127.0.0.1", 1), "a", 6, false, 0, 1,
-					"", List.of(), List.of(), Optional.empty(), entry.revision()));
-		}
-
-	}
-
 }
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -24,6 +24,7 @@
 import org.monsoonvalve.core.connection.HttpClient;
 import org.monsoonvalve.core.connection.HttpLimits;
 import org.monsoonvalve.core.connection.HttpServer;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.gateway.connection.Endpoint;
 import org.monsoonvalve.gateway.connection.EndpointSet;
 import org.monsoonvalve.gateway.process.CrashEvidence;
@@ -124,14 +125,14 @@
 		for (int i = 0; i < addresses.length; i++) {
 			String id = "vm-" + i;
 			records.put(id, new EndpointRecord(id, "s", addresses[i], (i == 0) ? "near" : "far", 6, false, 0, 1, "",
-					List.of(), List.of(), Optional.empty(), 1));
+					List.of(), List.of(), Optional.empty(), StorePosition.of(1)));
 		}
 		DecisionLog log = DecisionLog.start(Clock.systemUTC(), "gateway-1", (line) -> {
 		});
 		EndpointSet endpoints = new EndpointSet("near", (record) -> new Endpoint(record, this.client, () -> {
 		}), log);
-		endpoints
-			.update(new FleetView(1, Optional.of(configuration), 1, Set.of(), records, Map.of(), Map.of(), Map.of()));
+		endpoints.update(new FleetView(StorePosition.of(1), Optional.of(configuration), StorePosition.of(1), Set.of(),
+				records, Map.of(), Map.of(), Map.of()));
 		this.crashes = new CrashEvidence("gateway-1", this.evidenceMillis::get, new NoTrials(), new BlockListener());
 		this.dispatcher = new Dispatcher(this.loop, ForwardedHeadersTests.NAMES, endpoints,
 				new GatewaySettings.Bounds(8000, 0.2, 10_000, 100, 1.5, 5, 5000), () -> 1, log,
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/FleetViewTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/FleetViewTests.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.monsoonvalve.core.connection.StorePosition;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -23,8 +24,8 @@
 		for (EndpointRecord record : records) {
 			byId.put(record.id(), record);
 		}
-		FleetView view = new FleetView(1, Optional.empty(), 0, Set.of(), byId, Map.of(),
-				Map.of("kano-a", new FleetView.PlannedGroups(groups, 1)), Map.of());
+		FleetView view = new FleetView(StorePosition.of(1), Optional.empty(), StorePosition.of(0), Set.of(), byId,
+				Map.of(), Map.of("kano-a", new FleetView.PlannedGroups(groups, StorePosition.of(1))), Map.of());
 		return view.servesWholeGroup(records[0]);
 	}
 
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
@@ -8,6 +8,7 @@
 import java.util.stream.IntStream;
 
 import org.monsoonvalve.core.connection.Address;
+import org.monsoonvalve.core.connection.StorePosition;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -22,7 +23,8 @@
 
 	static EndpointRecord vm(String id, String domain, String staged, GroupMembership membership) {
 		return new EndpointRecord(id, "engines", new Address("10.0.0.1", 80), "kano-a", 12, false, 0, 1, domain,
-				staged.isEmpty() ? List.of() : List.of(staged), List.of(), Optional.ofNullable(membership), 1);
+				staged.isEmpty() ? List.of() : List.of(staged), List.of(), Optional.ofNullable(membership),
+				StorePosition.of(1));
 	}
 
 	private static ReplicaPlanner.Plan plan(List<EndpointRecord> endpoints, ZoneGroups groups,
@@ -109,7 +111,8 @@
 		ZoneGroups groups = ZoneGroups.empty().with("kano-a", "small", List.of(member("a"), member("b")));
 		ReplicaGroup group = groups.groups().get(0);
 		EndpointRecord restarted = new EndpointRecord("b", "engines", new Address("10.0.0.1", 80), "kano-a", 12, false,
-				0, 2, "d1", List.of("small"), List.of(), Optional.of(membership(group, 1, GroupState.READY)), 1);
+				0, 2, "d1", List.of("small"), List.of(), Optional.of(membership(group, 1, GroupState.READY)),
+				StorePosition.of(1));
 		ReplicaPlanner.Plan plan = plan(
 				List.of(vm("a", "d1", "small", membership(group, 0, GroupState.READY)), restarted), groups, Map.of(),
 				0);
@@ -145,7 +148,8 @@
 		ReplicaGroup group = groups.groups().get(0);
 		EndpointRecord head = vm("a", "d1", "small", membership(group, 0, GroupState.OPEN));
 		EndpointRecord draining = new EndpointRecord("b", "engines", new Address("10.0.0.1", 80), "kano-a", 12, true, 0,
-				1, "d1", List.of("small"), List.of(), Optional.of(membership(group, 1, GroupState.READY)), 1);
+				1, "d1", List.of("small"), List.of(), Optional.of(membership(group, 1, GroupState.READY)),
+				StorePosition.of(1));
 		Assert.assertEquals(plan(List.of(head), groups, Map.of(), 0).orders().get(0).order().action(),
 				GroupOrder.Action.EVICT);
 		Assert.assertEquals(plan(List.of(head, draining), groups, Map.of(), 0).orders().get(0).order().action(),
@@ -171,7 +175,7 @@
 		ReplicaGroup unplanned = ReplicaGroup.of("kano-a-3", 3, "small", List.of(member("a"), member("b")));
 		List<EndpointRecord> returned = List.of(vm("a", "d1", "small", membership(unplanned, 0, GroupState.OPEN)),
 				vm("b", "d1", "small", membership(unplanned, 1, GroupState.READY)), vm("c", "d1", "small", null));
-		Assert.assertTrue(plan(returned, new ZoneGroups(7, List.of()), Map.of(), 0).groups().groups().isEmpty());
+		Assert.assertTrue(plan(returned, new ZoneGroups(7, List.of(), 1), Map.of(), 0).groups().groups().isEmpty());
 	}
 
 	@Test
@@ -185,7 +189,7 @@
 
 	static EndpointRecord vmWithLoadedModel(String id, String model, String staged, GroupMembership membership) {
 		return new EndpointRecord(id, "engines", new Address("10.0.0.1", 80), "kano-a", 12, false, 0, 1, "d1",
-				List.of(staged), List.of(model), Optional.of(membership), 1);
+				List.of(staged), List.of(model), Optional.of(membership), StorePosition.of(1));
 	}
 
 	// Failure pattern: a model with large groups loses single VMs one after another while
@@ -235,7 +239,7 @@
 		Assert.assertEquals(
 				plan(smallGroupsAndSurvivors(groups, GroupState.OPEN, "small", 3), groups, Map.of(), 0).groups(),
 				groups);
-		ZoneGroups oneGroup = new ZoneGroups(5, groups.groups().subList(4, 5));
+		ZoneGroups oneGroup = new ZoneGroups(5, groups.groups().subList(4, 5), 6);
 		Assert.assertEquals(
 				plan(smallGroupsAndSurvivors(oneGroup, GroupState.OPEN, "large", 3), oneGroup, Map.of(), 0).groups(),
 				oneGroup);
