Let nothing but events of a stream into a stream that has begun

Cause: a body over the buffer's bound was relayed without asking whether the caller's response had begun, so the head and the content of a 200 of another type, a 301 or a 4xx were written into the stream, which then ended as complete.

Change: an answer to a resumed stream that is no stream is a lost response as soon as its head is read, whatever its size: the stream is resumed elsewhere within the budget, or cut.

A stream that ends normally before its last event can't be told from a complete one: the platform's streams have no closing event.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
@@ -231,6 +231,11 @@
 			this.splitter = new EventSplitter();
 			this.exchange.response().offerStreamHeaders(ForwardedHeaders.ofResponse(replyHeaders));
 		}
+		else if (this.exchange.response().started() && !retryableStatus()) {
+			// The caller reads a stream, which nothing but its events may continue.
+			responseFailed(new ServingException(FailureCode.ENDPOINT_LOST,
+					"the resumed stream was answered with status " + this.status));
+		}
 	}
 
 	private boolean notRunByEndpoint() {
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import com.codahale.metrics.MetricRegistry;
 import org.monsoonvalve.core.connection.Address;
@@ -147,10 +149,14 @@
 	}
 
 	private Socket send(String fields) throws IOException {
+		return send(fields, "id-1");
+	}
+
+	private Socket send(String fields, String id) throws IOException {
 		Socket socket = new Socket("127.0.0.1", this.port);
 		socket.setSoTimeout(5000);
 		socket.getOutputStream()
-			.write(("POST /a/x?q=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: id-1\r\nAuthorization: Bearer key-1\r\n"
+			.write(("POST /a/x?q=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nAuthorization: Bearer key-1\r\n"
 					+ "Deadline: 9000\r\n" + fields + "Connection: close\r\nContent-Length: 4\r\n\r\nbody")
 				.getBytes(StandardCharsets.US_ASCII));
 		return socket;
@@ -161,7 +167,11 @@
 	}
 
 	private String sendAndRead(String fields) throws IOException {
-		try (Socket socket = send(fields)) {
+		return sendAndRead(fields, "id-1");
+	}
+
+	private String sendAndRead(String fields, String id) throws IOException {
+		try (Socket socket = send(fields, id)) {
 			StringBuilder response = new StringBuilder();
 			try {
 				for (int next = socket.getInputStream().read(); next >= 0; next = socket.getInputStream().read()) {
@@ -281,6 +291,98 @@
 				"the stream stays open until the route's timeout, lasted " + lastedMillis);
 	}
 
+	@DataProvider
+	public Object[][] answersToAResumedStream() {
+		String large = "x".repeat(70_000);
+		return IntStream.of(200, 204, 301, 400, 404, 429, 500, 503)
+			.boxed()
+			.flatMap((status) -> Stream.of("", "error", large).map((body) -> new Object[] { status, body }))
+			.toArray(Object[][]::new);
+	}
+
+	// An answer that is no stream was written into the stream that the caller was
+	// reading,
+	// with its head, and the stream ended as if it were complete.
+	@Test(dataProvider = "answersToAResumedStream")
+	public void anAnswerThatIsNoStreamDoesNotGetIntoAStreamThatHasBegun(int status, String body) throws IOException {
+		ScriptedEndpoint first = endpoint(STREAM.formatted(1) + chunk(event(1)),
+				ScriptedEndpoint.ConnectionAction.CLOSE);
+		ScriptedEndpoint second = endpoint(
+				"HTTP/1.1 " + status + " X\r\nRequest-Id: $ID\r\nContent-Type: text/plain\r\n"
+						+ ((status == 204) ? "\r\n" : "Content-Length: " + body.length() + "\r\n\r\n" + body),
+				ScriptedEndpoint.ConnectionAction.KEEP);
+		serve(RequestKind.STREAM, first.address(), second.address());
+		String response = sendAndRead();
+		Assert.assertEquals(second.requests.size(), 1, "the stream is resumed");
+		Assert.assertTrue(response.startsWith("HTTP/1.1 200") && response.lastIndexOf("HTTP/1.1") == 0, response);
+		Assert.assertFalse(response.contains("error") || response.contains("xxx"), response);
+		Assert.assertFalse(response.endsWith("0\r\n\r\n"), "the stream looks complete: " + response);
+	}
+
+	@DataProvider
+	public Object[][] repeatedRefusals() {
+		String withId = NOT_RUN;
+		String earlier = NOT_RUN.replace("$ID", "id-0");
+		String without = NOT_RUN.replace("Request-Id: $ID\r\n", "");
+		return new Object[][] { { withId + withId, OK, false }, { withId + earlier, OK, false },
+				{ withId + without, OK, false }, { withId + ScriptedEndpoint.PAUSE + withId, OK, true },
+				{ withId, earlier + OK, true }, { withId, without + OK, true },
+				{ withId, earlier + ScriptedEndpoint.PAUSE + OK, true } };
+	}
+
+	// A refusal that an endpoint wrote once more was taken for that of the next request,
+	// which the endpoint was running.
+	@Test(dataProvider = "repeatedRefusals")
+	public void aRefusalThatIsWrittenTwiceIsNotBelievedForTheNextRequest(String firstResponse, String secondResponse,
+			boolean pauseBetween) throws Exception {
+		ScriptedEndpoint faulty = ScriptedEndpoint.start(List.of(firstResponse, secondResponse),
+				ScriptedEndpoint.ConnectionAction.KEEP);
+		this.scriptedEndpoints.add(faulty);
+		serve(RequestKind.UNSAFE, faulty.address());
+		Assert.assertTrue(sendAndRead().startsWith("HTTP/1.1 503"), "the first one was refused");
+		if (pauseBetween) {
+			Thread.sleep(300);
+		}
+		String response = sendAndRead("", "id-2");
+		Assert.assertEquals(faulty.requests.size(), 2, "the second request reached the endpoint");
+		Assert.assertTrue(response.endsWith("ok") || response.startsWith("HTTP/1.1 502"), response);
+	}
+
+	@DataProvider
+	public Object[][] brokenHeads() {
+		String head = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nServed-By: s1\r\nConnection: close\r\n\r\n";
+		String trailers = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: 1\r\n\r\n";
+		return Stream.of(ScriptedEndpoint.ConnectionAction.CLOSE, ScriptedEndpoint.ConnectionAction.RESET)
+			.flatMap((action) -> Stream.of(new Object[] { prefixes(head, 1), action },
+					new Object[] { prefixes("HTTP/1.1 100 Continue\r\n\r\n" + head, 1), action },
+					new Object[] { prefixes(trailers, trailers.indexOf("2\r\nok")), action }))
+			.toArray(Object[][]::new);
+	}
+
+	private static List<String> prefixes(String text, int minLength) {
+		return IntStream.range(minLength, text.length()).mapToObj((length) -> text.substring(0, length)).toList();
+	}
+
+	// A head that broke off reached the caller as a complete response without content.
+	@Test(dataProvider = "brokenHeads")
+	public void aHeadThatBreaksOffIsNoResponse(List<String> prefixes, ScriptedEndpoint.ConnectionAction action)
+			throws Exception {
+		for (String prefix : prefixes) {
+			for (List<String> responses : List.of(List.of(prefix), List.of(OK, prefix))) {
+				start();
+				ScriptedEndpoint broken = ScriptedEndpoint.start(responses, action);
+				this.scriptedEndpoints.add(broken);
+				serve(RequestKind.UNSAFE, broken.address());
+				String response = "";
+				for (int i = 0; i < responses.size(); i++) {
+					response = sendAndRead("", "id-" + i);
+				}
+				Assert.assertTrue(response.startsWith("HTTP/1.1 502"), "after " + prefix + ": " + response);
+				stop();
+			}
+		}
+	}
+
 	@Test
 	public void aStreamThatCannotBeResumedDoesNotLookComplete() throws IOException {
 		ScriptedEndpoint first = endpoint(STREAM.formatted(1) + chunk(event(1)),
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
@@ -17,13 +17,19 @@
 import org.monsoonvalve.core.connection.Address;
 
 /**
- * A test endpoint that sends the same scripted bytes for every request.
+ * A test endpoint that sends scripted bytes for each request, and the last ones for all
+ * further requests.
  */
 final class ScriptedEndpoint implements AutoCloseable {
 
+	/** A pause between two parts of a response. */
+	static final String PAUSE = "<pause>";
+
+	private static final long PAUSE_MILLIS = 100;
+
 	private final ServerSocket server;
 
-	private final String response;
+	private final List<String> responses;
 
 	private final ConnectionAction connectionAction;
 
@@ -33,16 +39,21 @@
 
 	final CountDownLatch callerDisconnected = new CountDownLatch(1);
 
-	private ScriptedEndpoint(ServerSocket server, String response, ConnectionAction connectionAction) {
+	private ScriptedEndpoint(ServerSocket server, List<String> responses, ConnectionAction connectionAction) {
 		this.server = server;
-		this.response = response;
+		this.responses = responses;
 		this.connectionAction = connectionAction;
 	}
 
 	static ScriptedEndpoint start(String response, ConnectionAction connectionAction) {
+		return start(List.of(response), connectionAction);
+	}
+
+	// Does what the action says after the last of the responses.
+	static ScriptedEndpoint start(List<String> responses, ConnectionAction connectionAction) {
 		try {
 			ScriptedEndpoint endpoint = new ScriptedEndpoint(
-					new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1")), response, connectionAction);
+					new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1")), responses, connectionAction);
 			startThread(endpoint::accept);
 			return endpoint;
 		}
@@ -88,13 +99,23 @@
 					return;
 				}
 				this.requests.add(request);
+				int number = Math.min(this.requests.size(), this.responses.size());
 				String id = request.lines()
 					.filter((line) -> line.startsWith("Request-Id: "))
 					.map((line) -> line.substring(12))
 					.findFirst()
 					.orElse("");
-				socket.getOutputStream().write(this.response.replace("$ID", id).getBytes(StandardCharsets.US_ASCII));
-				socket.getOutputStream().flush();
+				String response = this.responses.get(number - 1).replace("$ID", id);
+				for (String part : response.split(PAUSE)) {
+					if (!response.startsWith(part)) {
+						Thread.sleep(PAUSE_MILLIS);
+					}
+					socket.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
+					socket.getOutputStream().flush();
+				}
+				if (number < this.responses.size()) {
+					continue;
+				}
 				if (this.connectionAction == ConnectionAction.CLOSE) {
 					return;
 				}
@@ -110,6 +131,9 @@
 		catch (IOException ex) {
 			this.callerDisconnected.countDown();
 		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	private void repeatUntilClosed(OutputStream output) throws IOException {
