--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/FakePlatformStore.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/FakePlatformStore.java
@@ -28,6 +28,8 @@
 
 	private final Set<Long> leases = new HashSet<>();
 
+	private long era;
+
 	private long revision;
 
 	private boolean down;
@@ -50,6 +52,39 @@
 		this.responsesToLose = count;
 	}
 
+	/**
+	 * Takes a copy of the content.
+	 * @return restores the store from the copy, in a later era, when run
+	 */
+	public Runnable copy() {
+		Map<String, Entry> copiedEntries = Map.copyOf(this.entries);
+		Map<String, Long> copiedLeaseByKey = Map.copyOf(this.leaseByKey);
+		Set<Long> copiedLeases = Set.copyOf(this.leases);
+		long copiedRevision = this.revision;
+		return () -> {
+			this.era++;
+			this.entries.clear();
+			copiedEntries.forEach((key, entry) -> this.entries.put(key,
+					new Entry(key, new StorePosition(this.era, entry.revision()), entry.value())));
+			this.leaseByKey.clear();
+			this.leaseByKey.putAll(copiedLeaseByKey);
+			this.leases.clear();
+			this.leases.addAll(copiedLeases);
+			this.revision = copiedRevision;
+		};
+	}
+
+	/**
+	 * Starts to state eras.
+	 */
+	public void stateEra() {
+		this.era = 1;
+	}
+
+	private StorePosition position() {
+		return new StorePosition(this.era, this.revision);
+	}
+
 	/**
 	 * Expires a lease and deletes its keys.
 	 * @param leaseId the lease's identifier
@@ -69,7 +104,7 @@
 	@Override
 	public CompletableFuture<Snapshot> read(String prefix, long leastRevision) {
 		return respond(false,
-				() -> new Snapshot(this.revision,
+				() -> new Snapshot(position(),
 						this.entries.values()
 							.stream()
 							.filter((entry) -> entry.key().startsWith(prefix) && entry.revision() >= leastRevision)
@@ -81,12 +116,12 @@
 		return respond(true, () -> {
 			Entry present = this.entries.get(key);
 			if (((present != null) ? present.revision() : 0) != expected.revision()) {
-				return new WriteResult(false, this.revision, present);
+				return new WriteResult(false, position(), present);
 			}
 			this.revision++;
-			this.entries.put(key, new Entry(key, this.revision, value));
+			this.entries.put(key, new Entry(key, position(), value));
 			this.leaseByKey.put(key, lease.id());
-			return new WriteResult(true, this.revision, null);
+			return new WriteResult(true, position(), null);
 		});
 	}
 
@@ -99,7 +134,7 @@
 				this.revision++;
 				this.entries.remove(key);
 			}
-			return new WriteResult(matches, this.revision, present);
+			return new WriteResult(matches, position(), present);
 		});
 	}
 
@@ -108,19 +143,21 @@
 		return respond(true, () -> {
 			long id = this.leases.size() + 1L + this.revision * 1000;
 			this.leases.add(id);
-			return StoreLease.of(id);
+			return new StoreLease(this.era, id);
 		});
 	}
 
 	@Override
 	public CompletableFuture<Boolean> renewLease(StoreLease lease) {
-		return respond(true, () -> this.leases.contains(lease.id()));
+		return respond(true, () -> lease.era() == this.era && this.leases.contains(lease.id()));
 	}
 
 	@Override
 	public CompletableFuture<Void> revokeLease(StoreLease lease) {
 		return respond(true, () -> {
-			expireLease(lease.id());
+			if (lease.era() == this.era) {
+				expireLease(lease.id());
+			}
 			return null;
 		});
 	}
--- a/monsoonvalve-ctl/src/main/java/org/monsoonvalve/ctl/request/Explanation.java
+++ b/monsoonvalve-ctl/src/main/java/org/monsoonvalve/ctl/request/Explanation.java
@@ -106,8 +106,9 @@
 	}
 
 	private String sentence(JsonNode end) {
-		String inputs = " after %d sends, %d ms old, view %d".formatted(end.path("sends").asInt(),
-				end.path("age_ms").asLong(), end.path("view").asLong());
+		String inputs = " after %d sends, %d ms old, view %s".formatted(end.path("sends").asInt(),
+				end.path("age_ms").asLong(), end.path("view").asText())
+				+ (end.has("configuration") ? ", configuration " + end.path("configuration").asLong() : "");
 		return switch (end.path("name").asText()) {
 			case "REQUEST_REFUSED" -> "refused as not run (" + end.path("code").asText() + "): "
 					+ end.path("reason").asText() + ", " + end.path("candidates").asInt() + " candidates" + inputs;
--- a/monsoonvalve-ctl/src/test/java/org/monsoonvalve/ctl/request/ExplanationTests.java
+++ b/monsoonvalve-ctl/src/test/java/org/monsoonvalve/ctl/request/ExplanationTests.java
@@ -39,6 +39,16 @@
 				List.of("bad1", "bad1"));
 	}
 
+	// The view's position has the era of the store, as revisions recur after a
+	// restoration.
+	@Test
+	public void theEndNamesTheConfigurationAndThePositionThatDecidedIt() {
+		List<String> log = List.of("{\"wall_ms\":5300,\"name\":\"REQUEST_REFUSED\",\"request\":\"r1\","
+				+ "\"code\":\"not-found\",\"reason\":\"no route\",\"view\":\"2/331\",\"configuration\":16}");
+		Assert.assertEquals(Explanation.of("r1", log.stream()).cause().orElseThrow(),
+				"refused as not run (not-found): no route, 0 candidates after 0 sends, 0 ms old, view 2/331, configuration 16");
+	}
+
 	@Test
 	public void theEndNamesTheInputsThatDecidedIt() {
 		Assert.assertEquals(Explanation.of("r1", LOG.stream()).cause().orElseThrow(),
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
@@ -106,6 +107,53 @@
 		awaitEverywhere(this.processes, this.store.put("endpoints/vm-1", new byte[] { 'e' }), PROPAGATION_MILLIS);
 	}
 
+	private static byte[] configuration(int version) {
+		return ("c" + version).getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static boolean hasConfiguration(Process process, int version) {
+		return process.view.configurationVersion() == version;
+	}
+
+	// One of the processes hears of the restoration from its peers only.
+	@Test
+	public void aRestorationReachesAllProcessesAndTheirConfigurationDoesNotRevert() {
+		this.store.put("config", configuration(12));
+		InMemoryStore.Copy copy = this.store.copy();
+		awaitEverywhere(this.processes, this.store.put("config", configuration(16)), PROPAGATION_MILLIS);
+		this.processes.get(3).store.refused = true;
+		this.store.restore(copy);
+		awaitEverywhere(this.processes, this.store.put("endpoints/vm-1", new byte[] { 'e' }), RECOVERY_MILLIS);
+		this.processes.forEach((process) -> Assert.assertTrue(hasConfiguration(process, 16), "kept"));
+		awaitEverywhere(this.processes, this.store.put("config", configuration(18)), PROPAGATION_MILLIS);
+		this.processes.forEach((process) -> Assert.assertTrue(hasConfiguration(process, 18), "the next one"));
+	}
+
+	@Test
+	public void asManyRestorationsAsThereAreReachAllProcesses() {
+		InMemoryStore.Copy copy = this.store.copy();
+		for (int i = 1; i <= 5; i++) {
+			this.store.put("config", configuration(i));
+			this.store.restore(copy);
+			awaitEverywhere(this.processes, this.store.put("config", configuration(10 * i)), RECOVERY_MILLIS);
+			int version = 10 * i;
+			this.processes.forEach((process) -> Assert.assertTrue(hasConfiguration(process, version)));
+		}
+	}
+
+	// It reads an older configuration from the store than its peers have in force.
+	@Test
+	public void aProcessThatStartsAfterARestorationTakesTheConfigurationFromAPeer() throws IOException {
+		this.store.put("config", configuration(12));
+		InMemoryStore.Copy copy = this.store.copy();
+		awaitEverywhere(this.processes, this.store.put("config", configuration(16)), PROPAGATION_MILLIS);
+		this.store.restore(copy);
+		awaitEverywhere(this.processes, this.store.put("endpoints/vm-1", new byte[] { 'e' }), RECOVERY_MILLIS);
+		Process started = new Process("gateway-9", "b", this.store);
+		this.processes.add(started);
+		await(RECOVERY_MILLIS, () -> hasConfiguration(started, 16));
+	}
+
 	@Test
 	public void anUnexpectedErrorInOneUpdateDoesNotEndTheFollowing() {
 		this.processes.forEach((process) -> process.failNextUpdate = true);
