Let a stream that has begun wait for an endpoint that is full for a moment

Cause: a resumed stream without a free endpoint was treated like a new request, which is refused at once; it had nothing to be refused with.

Change: a stream that has begun looks for an endpoint every 50 ms until its deadline; one that declined it may be asked again, within the four sends. Requests that have not begun are refused at once as before.

Evidence: aStreamThatHasBegunWaitsForAnEndpointThatIsFullForAMoment failed before and passes; the other 79 tests of the class pass.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -29,6 +29,12 @@
 	/** Maximum attempts of one request, including those that endpoints did not run. */
 	private static final int MAX_ATTEMPTS = 4;
 
+	/**
+	 * Interval between two searches for an endpoint that continues a stream; slots become
+	 * free within some tens of milliseconds.
+	 */
+	private static final long RESUME_RETRY_MILLIS = 50;
+
 	private final Dispatcher dispatcher;
 
 	private final IncomingCall call;
@@ -99,6 +105,10 @@
 		Optional<Endpoint> chosen = this.dispatcher.endpoints()
 			.choose(candidates, (endpoint) -> !this.triedEndpoints.contains(endpoint)
 					&& this.dispatcher.canAdmit(this.match.service(), endpoint));
+		if (chosen.isEmpty() && this.response.started()) {
+			this.dispatcher.loop().schedule(RESUME_RETRY_MILLIS, () -> resume(reason));
+			return;
+		}
 		if (chosen.isEmpty()) {
 			fail(new ServingException(FailureCode.NO_CAPACITY, candidates.isEmpty()
 					? "no endpoint serves the requested service or model" : "all endpoints are full"),
@@ -119,6 +129,13 @@
 		attempt.connect();
 	}
 
+	// A stream that has begun waits for a free endpoint until its deadline.
+	private void resume(String reason) {
+		if (!this.done) {
+			sendNext(reason);
+		}
+	}
+
 	// Continues after an attempt that certainly did not run. Attempts that an endpoint
 	// received and rejected use the retry budget, too.
 	void notRun(String reason, boolean reachedEndpoint) {
@@ -311,6 +328,10 @@
 	void declined(String reason) {
 		this.possibleRuns--;
 		this.mayHaveRun = this.possibleRuns > 0;
+		if (this.response.started() && this.currentAttempt != null) {
+			Endpoint declining = this.currentAttempt.endpoint();
+			this.dispatcher.loop().schedule(RESUME_RETRY_MILLIS, () -> this.triedEndpoints.remove(declining));
+		}
 		notRun(reason, true);
 	}
 
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -291,6 +291,24 @@
 				"the stream stays open until the route's timeout, lasted " + lastedMillis);
 	}
 
+	// A stream that broke off was cut towards its caller when all other endpoints were
+	// full
+	// for a moment.
+	@Test
+	public void aStreamThatHasBegunWaitsForAnEndpointThatIsFullForAMoment() throws IOException {
+		ScriptedEndpoint first = endpoint(STREAM.formatted(1) + chunk(event(1)),
+				ScriptedEndpoint.ConnectionAction.CLOSE);
+		ScriptedEndpoint second = ScriptedEndpoint.start(
+				List.of(NOT_RUN, STREAM.formatted(2) + chunk(event(2)) + "0\r\n\r\n"),
+				ScriptedEndpoint.ConnectionAction.KEEP);
+		this.scriptedEndpoints.add(second);
+		serve(RequestKind.STREAM, first.address(), second.address());
+		String response = sendAndRead();
+		Assert.assertEquals(response.split("data: e").length - 1, 2, response);
+		Assert.assertTrue(response.endsWith("0\r\n\r\n"), response);
+		Assert.assertEquals(first.requests.size(), 1);
+	}
+
 	@DataProvider
 	public Object[][] answersToAResumedStream() {
 		String large = "x".repeat(70_000);
