--- /dev/null
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/PeerFrameTests.java
@@ -0,0 +1,42 @@
+package org.monsoonvalve.core.connection;
+
+import java.util.List;
+
+import org.monsoonvalve.core.process.Codec;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Frames of a build that doesn't know the eras of the store, which have fewer elements.
+ */
+public class PeerFrameTests {
+
+	private static PeerFrame decode(Object... tagAndElements) {
+		return Codec.MESSAGE_PACK.decode(Codec.MESSAGE_PACK.encode(List.of(tagAndElements)), PeerFrame.class);
+	}
+
+	@Test
+	public void aQuestionWithoutAnEraIsUnderstood() {
+		PeerFrame.FactsQuestion question = (PeerFrame.FactsQuestion) decode("q", List.of(407, 600));
+		Assert.assertEquals(question.after(), StorePosition.of(407));
+		Assert.assertEquals(question.waitMillis(), 600);
+		Assert.assertEquals(question.configurationVersion(), 0);
+	}
+
+	@Test
+	public void factsWithoutAnEraAreUnderstood() {
+		PeerFrame.Facts facts = (PeerFrame.Facts) decode("f",
+				List.of(408, 20, true, List.of(List.of("key", 9, new byte[] { 1 }, false))));
+		Assert.assertEquals(facts.position(), StorePosition.of(408));
+		Assert.assertEquals(facts.facts().get(0).position(), StorePosition.of(9));
+		Assert.assertNull(facts.retained());
+	}
+
+	// A build that doesn't know eras ignores further elements in the same way.
+	@Test
+	public void furtherElementsAreIgnored() {
+		PeerFrame.FactsQuestion question = (PeerFrame.FactsQuestion) decode("q", List.of(407, 600, 2, 16, "later", 1));
+		Assert.assertEquals(question.after(), new StorePosition(2, 407));
+	}
+
+}
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FleetViewBuilderTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FleetViewBuilderTests.java
@@ -79,6 +79,26 @@
 		Assert.assertTrue(apply("endpoints/vm-2", null).endpoints().isEmpty());
 	}
 
+	@Test
+	public void recordsOfABuildThatDoesNotKnowErasAreUnderstood() {
+		FleetView view = apply("monsoonvalve/members/m",
+				"{\"name\":\"m\",\"zone\":\"z\",\"peerAddress\":\"10.0.0.1:7\",\"registeredRevision\":0}");
+		Assert.assertEquals(view.members().get("m").registered(), view.position());
+		view = apply("monsoonvalve/groups/z", "{\"lastEpoch\":9,\"groups\":[]}");
+		Assert.assertEquals(view.groupsOf("z").groups().lastEpoch(), 9);
+		Assert.assertTrue(view.groupsOf("z").stored());
+	}
+
+	// An older configuration doesn't replace a newer one, whatever its position is.
+	@Test
+	public void aConfigurationIsOrderedByItsVersion() {
+		apply("config", "c9");
+		FleetView view = apply("config", "c7");
+		Assert.assertEquals(view.configurationVersion(), 9);
+		Assert.assertEquals(this.builder.keptConfigurations(), 1);
+		Assert.assertEquals(apply("config", "c10").configurationVersion(), 10);
+	}
+
 	// One entry that makes its decoder fail must neither stop the process from following
 	// the store nor hide any other entry.
 	@Test
