Publish a view after a peer's answer only if the answer changed it

Change: the replica tells whether records expired or were taken over, and only then a view is published.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
@@ -275,20 +275,25 @@
 	/**
 	 * Takes over a record that a peer retained, if it is newer than the one in effect.
 	 * @param record the record, of an earlier era
+	 * @return whether it was taken over
 	 */
-	void retainFromPeer(PlatformStore.Entry record) {
-		if (record.position().precedesEraOf(this.position) && this.retention.takesEffect(record, entry(record.key()))) {
-			this.retained.put(record.key(), new RetainedRecord(Optional.of(record), Long.MAX_VALUE));
-			this.changedKeys.add(record.key());
+	boolean retainFromPeer(PlatformStore.Entry record) {
+		if (!record.position().precedesEraOf(this.position)
+				|| !this.retention.takesEffect(record, entry(record.key()))) {
+			return false;
 		}
+		this.retained.put(record.key(), new RetainedRecord(Optional.of(record), Long.MAX_VALUE));
+		this.changedKeys.add(record.key());
+		return true;
 	}
 
 	/**
 	 * Ends the effect of retained records whose time has passed.
 	 * @param nowMillis the current time, in milliseconds
+	 * @return whether there were any
 	 */
-	void expireRetained(long nowMillis) {
-		this.retained.entrySet().removeIf((kept) -> {
+	boolean expireRetained(long nowMillis) {
+		return this.retained.entrySet().removeIf((kept) -> {
 			boolean expired = kept.getValue().untilMillis() <= nowMillis;
 			if (expired) {
 				this.changedKeys.add(kept.getKey());
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
@@ -190,8 +191,7 @@
 	}
 
 	private void expireRetained() {
-		this.replica.expireRetained(EventLoop.nowMillis());
-		if (this.replica.changedSinceTaken()) {
+		if (this.replica.expireRetained(EventLoop.nowMillis())) {
 			publishView();
 		}
 	}
@@ -410,12 +410,13 @@
 		if (!this.replica.position().isAfter(position)) {
 			this.confirmedMillis = Math.max(this.confirmedMillis, EventLoop.nowMillis() - facts.storeAgeMillis());
 		}
+		boolean changed = false;
 		if (position.isAfter(this.replica.position())) {
 			if (facts.whole()) {
-				resetReplica(new PlatformStore.Snapshot(position, entriesOf(facts.facts())), peer.toString());
+				changed = resetReplica(new PlatformStore.Snapshot(position, entriesOf(facts.facts())), peer.toString());
 			}
 			else {
-				this.replica.apply(new WatchableStore.Changes(position,
+				changed = this.replica.apply(new WatchableStore.Changes(position,
 						facts.facts()
 							.stream()
 							.map((fact) -> new WatchableStore.Change(fact.key(), position.at(fact.revision()),
@@ -425,10 +426,11 @@
 			}
 			answerFollowers();
 		}
-		if (facts.retained() != null) {
-			entriesOf(facts.retained()).forEach(this.replica::retainFromPeer);
+		for (PlatformStore.Entry record : entriesOf(Objects.requireNonNullElse(facts.retained(), List.of()))) {
+			changed |= this.replica.retainFromPeer(record);
 		}
-		if (this.replica.changedSinceTaken()) {
+		// A snapshot that no watch has confirmed yet is not published.
+		if (changed) {
 			if (!this.storeAvailable) {
 				this.log.record(LogEvent.FACTS_FROM_PEER, "peer", peer, "position", position);
 			}
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreReplicaTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreReplicaTests.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
 
 import org.monsoonvalve.core.connection.PlatformStore;
 import org.monsoonvalve.core.connection.StorePosition;
@@ -129,8 +128,9 @@
 		Assert.assertEquals(value("endpoints/a"), Optional.of("e1"));
 		Assert.assertEquals(value("evacuated/z"), Optional.of(""));
 		Assert.assertEquals(this.replica.storedPosition("endpoints/a"), StorePosition.NONE);
+		Assert.assertFalse(this.replica.expireRetained(REWRITE_MILLIS), "nothing new, although keys have changed");
 		this.replica.takeChangedKeys();
-		this.replica.expireRetained(2 * REWRITE_MILLIS);
+		Assert.assertTrue(this.replica.expireRetained(2 * REWRITE_MILLIS));
 		Assert.assertEquals(value("endpoints/a"), Optional.empty());
 		Assert.assertEquals(this.replica.takeChangedKeys(), Set.of("endpoints/a", "evacuated/z"));
 	}
@@ -177,7 +177,8 @@
 		Assert.assertEquals(told.stream().map(PlatformStore.Entry::key).toList(), List.of("config"));
 		createReplica();
 		reset(at(2, 8), entry("config", at(2, 5), "c12"));
-		Stream.concat(told.stream(), Stream.of(entry("config", at(1, 8), "c14"))).forEach(this.replica::retainFromPeer);
+		told.forEach((record) -> Assert.assertTrue(this.replica.retainFromPeer(record)));
+		Assert.assertFalse(this.replica.retainFromPeer(entry("config", at(1, 8), "c14")), "an older one");
 		Assert.assertEquals(value("config"), Optional.of("c16"));
 		apply(at(2, 9), change("config", at(2, 9), "c17"));
 		told.forEach(this.replica::retainFromPeer);
