Let only a holder whose term ended with the era reclaim its role

Cause, found on reading: a holder whose lease had expired before the restoration within 3.5 s of its last renewal, as outages may let leases expire early, took the role again at once, beside the process that had acquired it meanwhile.

Change: only a term that ended as its era did is reclaimed.

Evidence: aHolderWhoseLeaseExpiredBeforeTheRestorationDoesNotTakeTheRoleAgain failed before (the first held the role) and passes; so do the other 18 tests."

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LeaseElection.java
@@ -51,8 +51,8 @@
 
 	private final AtomicReference<Term> term = new AtomicReference<>();
 
-	// The last term that ended otherwise than by resignation.
-	private final AtomicReference<Term> ended = new AtomicReference<>();
+	// The term that ended with the last era.
+	private final AtomicReference<Term> forgotten = new AtomicReference<>();
 
 	private final AtomicReference<Era> era = new AtomicReference<>(new Era(0, null));
 
@@ -91,11 +91,11 @@
 	public void tick(boolean mayAcquire) {
 		Term held = this.term.get();
 		if (held != null && !renew(held) && this.term.compareAndSet(held, null)) {
-			this.ended.set(held);
+			this.forgotten.set(ofEarlierEra(held) ? held : null);
 		}
-		boolean forgotten = isForgotten(this.ended.get());
-		if (this.term.get() == null && (mayAcquire || forgotten)) {
-			claimablePosition(forgotten).ifPresent(this::campaign);
+		boolean reclaims = isReclaimable(this.forgotten.get());
+		if (this.term.get() == null && (mayAcquire || reclaims)) {
+			claimablePosition(reclaims).ifPresent(this::campaign);
 		}
 	}
 
@@ -115,8 +115,8 @@
 	}
 
 	// Nobody else can have acquired the role in the ended era, as the lease was valid.
-	private boolean isForgotten(Term held) {
-		return held != null && ofEarlierEra(held) && this.clock.elapsedMillis(held.renewed()) < RENEWAL_VALID_MILLIS;
+	private boolean isReclaimable(Term term) {
+		return term != null && ofEarlierEra(term) && this.clock.elapsedMillis(term.renewed()) < RENEWAL_VALID_MILLIS;
 	}
 
 	private boolean ofEarlierEra(Term held) {
@@ -162,7 +162,7 @@
 	 */
 	public void resign() {
 		Term held = this.term.getAndSet(null);
-		this.ended.set(null);
+		this.forgotten.set(null);
 		if (held != null) {
 			revoke(held.lease());
 		}
@@ -190,18 +190,18 @@
 	// key's position if an earlier process with this identifier holds it, empty while
 	// a process with another identifier holds it. After a restoration the key may name
 	// the holder before this process.
-	private Optional<StorePosition> claimablePosition(boolean forgotten) {
+	private Optional<StorePosition> claimablePosition(boolean reclaims) {
 		try {
 			PlatformStore.Snapshot found = await(this.platform.read(this.key, 0));
 			observeEra(found.position().era());
-			if (!forgotten && mayHaveForgottenHolder()) {
+			if (!reclaims && mayHaveForgottenHolder()) {
 				return Optional.empty();
 			}
 			return found.entries()
 				.stream()
 				.filter((entry) -> entry.key().equals(this.key))
 				.findFirst()
-				.map((entry) -> (forgotten || isPredecessor(new String(entry.value(), StandardCharsets.UTF_8)))
+				.map((entry) -> (reclaims || isPredecessor(new String(entry.value(), StandardCharsets.UTF_8)))
 						? Optional.of(entry.position()) : Optional.<StorePosition>empty())
 				.orElse(Optional.of(StorePosition.NONE));
 		}
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/LeaseElectionTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/LeaseElectionTests.java
@@ -185,6 +185,24 @@
 		Assert.assertTrue(this.first.held());
 	}
 
+	// An outage lets leases expire early, and the store is restored soon after.
+	@Test
+	public void aHolderWhoseLeaseExpiredBeforeTheRestorationDoesNotTakeTheRoleAgain() {
+		startInFirstEra();
+		Runnable restore = this.platform.copy();
+		this.first.tick(true);
+		this.platform.expireAllLeases();
+		this.second.tick(true);
+		this.first.tick(false);
+		restore.run();
+		this.first.observeEra(2);
+		this.second.observeEra(2);
+		this.first.tick(true);
+		Assert.assertFalse(this.first.held());
+		this.second.tick(true);
+		Assert.assertTrue(this.second.held());
+	}
+
 	@DataProvider
 	public Object[][] fleets() {
 		return new Object[][] { { 8, 1 }, { 8, 2 }, { 8, 3 }, { 65, 4 }, { 95, 5 } };
