--- a/review/lib/Client.java
+++ b/review/lib/Client.java
@@ -64,10 +64,15 @@
 
 	/** Sends a request of a model and records how its stream ends. */
 	static void stream(Record record, String address, String attempt) {
+		stream(record, address, attempt, "");
+	}
+
+	/** Sends a request whose prompt has more parts, each with a comma, between the first and the last one. */
+	static void stream(Record record, String address, String attempt, String parts) {
 		try (Client client = new Client(address, 9000)) {
 			Http.Message answer = client.send("POST", "/draft/plan", new byte[0], Wire.name("header.request"), attempt,
 					Wire.name("header.deadline"), "8000", Wire.name("header.model"), "m0", Wire.name("header.tokens"),
-					"100,150", Wire.name("header.prefix"), "1:40," + Integer.toHexString(attempt.hashCode()) + ":60");
+					"100,150", Wire.name("header.prefix"), "1:40," + parts + Integer.toHexString(attempt.hashCode()) + ":60");
 			record.line("the client gets %s for %s, complete: %s", (answer != null) ? answer.status() : "no answer",
 					attempt, answer != null && answer.complete());
 		}
--- a/review/lib/ModelServer.java
+++ b/review/lib/ModelServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.monsoonvalve.core.process.Codec;
@@ -58,6 +60,10 @@
 
 	private volatile Group group;
 
+	private volatile CrashingPart crashingPart;
+
+	private volatile boolean ended;
+
 	private volatile boolean cutFromStore;
 
 	private volatile long lastBeatMillis;
@@ -91,6 +97,28 @@
 
 	}
 
+	/**
+	 * A part of a prompt that crashes each server that begins to write an answer on it.
+	 *
+	 * @param name the identifier of the part
+	 * @param arrivals the times at which requests with the part reached servers, in milliseconds
+	 * @param crashes the times of the crashes, in milliseconds
+	 * @param onCrash starts a crashed server again
+	 */
+	record CrashingPart(String name, Queue<Long> arrivals, Queue<Long> crashes, Consumer<ModelServer> onCrash) {
+
+		// The last part belongs to the request itself.
+		private boolean isIn(String promptParts) {
+			String[] parts = promptParts.split(",");
+			return Arrays.stream(parts, 0, parts.length - 1).anyMatch((part) -> part.startsWith(this.name + ":"));
+		}
+
+	}
+
+	void crashOn(CrashingPart part) {
+		this.crashingPart = part;
+	}
+
 	String id() {
 		return this.id;
 	}
@@ -130,15 +158,15 @@
 
 	void register() {
 		Threads.run(() -> {
-			while (true) {
+			while (!this.ended) {
 				beat();
 				Thread.sleep(HEARTBEAT_MILLIS);
 			}
 		});
 		Threads.run(() -> {
-			while (true) {
+			while (!this.ended || hasEntry()) {
 				Thread.sleep(20);
-				if (this.cutFromStore && hasEntry()
+				if ((this.cutFromStore || this.ended) && hasEntry()
 						&& System.currentTimeMillis() - this.lastBeatMillis > EXPIRY_HEARTBEATS * HEARTBEAT_MILLIS) {
 					this.store.remove(Wire.name("key.servers") + this.id);
 					this.record.line("the store removes the entry of %s", this.id);
@@ -157,7 +185,7 @@
 	}
 
 	private synchronized void beat() {
-		if (this.cutFromStore) {
+		if (this.cutFromStore || this.ended) {
 			return;
 		}
 		this.lastBeatMillis = System.currentTimeMillis();
@@ -370,6 +398,14 @@
 			misdirected(caller, attempt);
 			return;
 		}
+		CrashingPart crashing = this.crashingPart;
+		if (crashing != null && crashing.isIn(request.header(Wire.name("header.prefix")))) {
+			crashing.arrivals().add(System.currentTimeMillis());
+			this.record.line("%s with the crashing part reaches %s", attempt, this.id);
+			Threads.sleep(EVENT_MILLIS);
+			crash(crashing);
+			return;
+		}
 		int stream;
 		synchronized (this) {
 			if (this.streams.size() >= SLOTS) {
@@ -400,6 +436,19 @@
 		}
 	}
 
+	private void crash(CrashingPart crashing) {
+		synchronized (this) {
+			if (this.ended) {
+				return;
+			}
+			this.ended = true;
+		}
+		this.record.line("%s crashes", this.id);
+		crashing.crashes().add(System.currentTimeMillis());
+		close();
+		crashing.onCrash().accept(this);
+	}
+
 	private void writeEvent(Caller caller, int stream, String attempt, int number) throws IOException {
 		Threads.sleep(EVENT_MILLIS);
 		while (this.standsStillSinceMillis > 0 && this.streams.contains(stream)) {
