--- a/review/2/ResetAnswerCase.java
+++ b/review/2/ResetAnswerCase.java
@@ -17,6 +17,10 @@
  */
 public final class ResetAnswerCase {
 
+	private static final long HEARTBEAT_MILLIS = 1200;
+
+	private static final long BORN_MILLIS = System.currentTimeMillis();
+
 	private static final int REQUESTS = 8;
 
 	/** Below the limit of the configuration, 4,194,304 bytes. */
@@ -48,7 +52,12 @@
 				Threads.run(() -> answer(run, caller));
 			}
 		});
-		register(store, ip + ":" + server.getLocalPort());
+		Threads.run(() -> {
+			for (int beat = 1; true; beat++) {
+				register(store, ip + ":" + server.getLocalPort(), beat);
+				Thread.sleep(HEARTBEAT_MILLIS);
+			}
+		});
 		Gateway gateway = run.startGateway("edge-kano-a-1", Ports.ip(101), store.address());
 		run.awaitReady(gateway);
 		Threads.sleep(1000);
@@ -60,9 +69,9 @@
 		return violations;
 	}
 
-	private static void register(Store store, String address) {
+	private static void register(Store store, String address, int beat) {
 		Map<String, Object> values = Map.of("SERVICE", "depot-app", "ADDRESS", address, "SLOTS", 6, "STATE", "ready",
-				"BORN", System.currentTimeMillis(), "MODELS", "", "STAGED", "", "SEQUENCE", 1, "GROUP", "");
+				"BORN", BORN_MILLIS, "MODELS", "", "STAGED", "", "SEQUENCE", beat, "GROUP", "");
 		store.put(Wire.name("key.servers") + "i-1", Wire.template("entry.json", values));
 	}
 
