Log why the members of a group without a record of its head are released

The log named one reason, "its head is gone or has stopped serving", for four kinds of evidence, and an answered order to close left no line. Whether a head had been asked couldn't be told from it.

HeadLiveness names the evidence: closed, replaced, unresponsive, expired. An answer to the order to close is logged.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
@@ -259,7 +259,7 @@
 				liveness.put(group.name(), suspected.liveness(headTimeoutMillis()));
 			}
 			else if (record.bornMillis() != head.bornMillis()) {
-				liveness.put(group.name(), HeadLiveness.DEAD);
+				liveness.put(group.name(), HeadLiveness.REPLACED);
 			}
 			else if (this.prober.isMissing(record)) {
 				updateSuspicion(group);
@@ -313,6 +313,10 @@
 					this.log.record(LogEvent.ORDER_UNANSWERED, "endpoint", lastRecord.get().id(), "action", "CLOSE",
 							"group", group.name(), "reason", ServingException.from(failure).getMessage());
 				}
+				else {
+					this.log.record(LogEvent.ORDER_ANSWERED, "endpoint", lastRecord.get().id(), "action", "CLOSE",
+							"group", group.name(), "outcome", outcome);
+				}
 				boolean answered = failure == null && outcome != GroupOrder.Outcome.UNANSWERED
 						&& outcome != GroupOrder.Outcome.MOVED;
 				if (answered) {
@@ -345,9 +349,14 @@
 
 		private HeadLiveness liveness(long headTimeoutMillis) {
 			long now = EventLoop.nowMillis();
-			boolean dead = this.detector.silentLongerThan(headTimeoutMillis, now)
-					|| now - this.suspectedSinceMillis > GROUP_EXPIRY_MILLIS;
-			return this.closed ? HeadLiveness.CLOSED : (dead ? HeadLiveness.DEAD : HeadLiveness.UNKNOWN);
+			if (this.closed) {
+				return HeadLiveness.CLOSED;
+			}
+			if (this.detector.silentLongerThan(headTimeoutMillis, now)) {
+				return HeadLiveness.UNRESPONSIVE;
+			}
+			return (now - this.suspectedSinceMillis > GROUP_EXPIRY_MILLIS) ? HeadLiveness.EXPIRED
+					: HeadLiveness.UNKNOWN;
 		}
 
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/HeadLiveness.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/HeadLiveness.java
@@ -8,13 +8,25 @@
 public enum HeadLiveness {
 
 	/** The head may still be serving requests. */
-	UNKNOWN,
+	UNKNOWN(""),
 
 	/** The head confirmed that it no longer serves the group. */
-	CLOSED,
+	CLOSED("its head has stopped serving"),
+
+	/** Another incarnation has taken the place of the head. */
+	REPLACED("its head has restarted"),
 
 	/** The head has had no record and has not answered for so long that it is gone. */
-	DEAD;
+	UNRESPONSIVE("its head does not answer while other members do"),
+
+	/** The head has had no record for so long that the group is given up. */
+	EXPIRED("nothing has been heard of its head");
+
+	private final String reason;
+
+	HeadLiveness(String reason) {
+		this.reason = reason;
+	}
 
 	/**
 	 * Tells whether the group's other members may join other groups.
@@ -24,4 +36,12 @@
 		return this != UNKNOWN;
 	}
 
+	/**
+	 * Returns why the group is removed.
+	 * @return the reason, empty if the members are not released
+	 */
+	public String reason() {
+		return this.reason;
+	}
+
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
@@ -85,8 +85,9 @@
 
 	private void dissolve(ReplicaGroup group, Optional<EndpointRecord> headRecord) {
 		if (headRecord.isEmpty()) {
-			if (this.snapshot.liveness(group).releasesMembers()) {
-				removeGroup(group, "its head is gone or has stopped serving");
+			HeadLiveness liveness = this.snapshot.liveness(group);
+			if (liveness.releasesMembers()) {
+				removeGroup(group, liveness.reason());
 			}
 			return;
 		}
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
@@ -165,7 +165,7 @@
 				vm("b", "d1", "small", membership(groups.groups().get(0), 1, GroupState.READY)),
 				vm("d", "d1", "small", membership(groups.groups().get(1), 1, GroupState.READY)));
 		Assert.assertEquals(plan(survivors, groups, Map.of(), 3).groups(), groups);
-		Map<String, HeadLiveness> liveness = Map.of(groups.groups().get(0).name(), HeadLiveness.DEAD,
+		Map<String, HeadLiveness> liveness = Map.of(groups.groups().get(0).name(), HeadLiveness.UNRESPONSIVE,
 				groups.groups().get(1).name(), HeadLiveness.CLOSED);
 		Assert.assertEquals(plan(survivors, groups, liveness, 3).groups().groups().size(), 1);
 	}
