Ask a head without a record at the address that is stored with its group

Cause: the address of a head was known only from its last record, in the memory of the planner. A planner that started after the record had lapsed sent no order to close, yet counted the time since its own start as the head's silence, and released the members after stall_ms + 500 ms. The log of the case shows the groups removed as unresponsive with no order before it; ruled out by that: lost answers, another incarnation.

The address is stored with the group before its first order, so any planner can ask. SuspectedHead is a class of its own. EngineControl takes the address of an engine in place of a record. Two tests of the planner get the addresses into the groups that they compare; they check as much as before.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/HeadFailureDetector.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/HeadFailureDetector.java
@@ -4,9 +4,10 @@
 
 /**
  * Measures how long a group's head, the member that serves the group's requests, has left
- * probes unanswered while other members of the group answered. Without their answers the
- * head's silence is no evidence of a failure: the whole zone may be partitioned, and the
- * group may still serve there. Confined to the control thread.
+ * requests unanswered while other members of the group answered. Without their answers
+ * the head's silence is no evidence of a failure: the whole zone may be partitioned, and
+ * the group may still serve there. A head that was not asked is not silent. Confined to
+ * the control thread.
  *
  * @author monsoonvalve maintainers
  */
@@ -19,24 +20,27 @@
 	static final long MEMBER_ANSWER_LIFETIME_MILLIS = 2 * MemberProber.PROBE_INTERVAL_MILLIS
 			+ 2 * MemberProber.PROBE_TIMEOUT_MILLIS;
 
-	private long silentSinceMillis;
+	// Since the head's last answer, empty if it has left no request unanswered.
+	private OptionalLong silentSinceMillis = OptionalLong.empty();
 
 	private OptionalLong confirmedSinceMillis = OptionalLong.empty();
 
 	/**
-	 * Creates a detector without evidence of a failure.
-	 * @param silentSinceMillis the time of the first unanswered probe, in milliseconds
+	 * Records a request that the head has left unanswered.
+	 * @param sentMillis the time at which the request was sent, in milliseconds
 	 */
-	HeadFailureDetector(long silentSinceMillis) {
-		this.silentSinceMillis = silentSinceMillis;
+	void headUnanswered(long sentMillis) {
+		if (this.silentSinceMillis.isEmpty()) {
+			this.silentSinceMillis = OptionalLong.of(sentMillis);
+		}
 	}
 
 	/**
-	 * Restarts the measurement after an answer from the head.
-	 * @param nowMillis the current time, in milliseconds
+	 * Ends the measurement after an answer from the head; the next request that it leaves
+	 * unanswered starts another one.
 	 */
-	void headAnswered(long nowMillis) {
-		this.silentSinceMillis = nowMillis;
+	void headAnswered() {
+		this.silentSinceMillis = OptionalLong.empty();
 		this.confirmedSinceMillis = OptionalLong.empty();
 	}
 
@@ -46,14 +50,25 @@
 	 * @param nowMillis the current time, in milliseconds
 	 */
 	void membersAnswered(OptionalLong answerMillis, long nowMillis) {
-		if (answerMillis.isEmpty() || nowMillis - answerMillis.getAsLong() > MEMBER_ANSWER_LIFETIME_MILLIS) {
+		if (this.silentSinceMillis.isEmpty() || answerMillis.isEmpty()
+				|| nowMillis - answerMillis.getAsLong() > MEMBER_ANSWER_LIFETIME_MILLIS) {
 			this.confirmedSinceMillis = OptionalLong.empty();
 		}
 		else if (this.confirmedSinceMillis.isEmpty()) {
-			this.confirmedSinceMillis = OptionalLong.of(Math.max(this.silentSinceMillis, answerMillis.getAsLong()));
+			this.confirmedSinceMillis = OptionalLong
+				.of(Math.max(this.silentSinceMillis.getAsLong(), answerMillis.getAsLong()));
 		}
 	}
 
+	/**
+	 * Tells whether the head is silent while other members answer, so that its failure is
+	 * about to be detected.
+	 * @return {@code true} if it is
+	 */
+	boolean silentWhileMembersAnswer() {
+		return this.confirmedSinceMillis.isPresent();
+	}
+
 	/**
 	 * Tells whether the head has been silent for longer than a duration while other
 	 * members answered.
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/MemberProber.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/MemberProber.java
@@ -138,7 +138,7 @@
 
 	private void sendProbe(EndpointRecord endpoint, ProbeState state) {
 		long sentMillis = this.nowMillis.getAsLong();
-		this.engines.orderCount(endpoint, PROBE_TIMEOUT_MILLIS)
+		this.engines.orderCount(endpoint.engine(), PROBE_TIMEOUT_MILLIS)
 			.whenCompleteAsync((count, failure) -> probeCompleted(endpoint, state, sentMillis, failure), this.control);
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/OrderExecutor.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/OrderExecutor.java
@@ -151,7 +151,7 @@
 			return;
 		}
 		pending.attempts++;
-		this.engines.order(pending.endpoint, pending.order, pending.expectedCount)
+		this.engines.order(pending.endpoint.engine(), pending.order, pending.expectedCount)
 			.whenCompleteAsync((outcome, failure) -> orderAnswered(pending, outcome), this.control);
 	}
 
@@ -188,16 +188,17 @@
 	// reports.
 	private void refreshCount(PendingOrder pending) {
 		this.staging.remove(pending.endpoint.incarnation());
-		this.engines.orderCount(pending.endpoint, REPORT_TIMEOUT_MILLIS).whenCompleteAsync((count, failure) -> {
-			if (failure == null) {
-				this.orderCounts.put(pending.endpoint.incarnation(), count);
-			}
-			else {
-				this.log.record(LogEvent.ORDER_UNANSWERED, "endpoint", pending.endpoint.id(), "action", "report",
-						"reason", ServingException.from(failure).getMessage());
-			}
-			this.pendingOrders.remove(pending.endpoint.incarnation());
-		}, this.control);
+		this.engines.orderCount(pending.endpoint.engine(), REPORT_TIMEOUT_MILLIS)
+			.whenCompleteAsync((count, failure) -> {
+				if (failure == null) {
+					this.orderCounts.put(pending.endpoint.incarnation(), count);
+				}
+				else {
+					this.log.record(LogEvent.ORDER_UNANSWERED, "endpoint", pending.endpoint.id(), "action", "report",
+							"reason", ServingException.from(failure).getMessage());
+				}
+				this.pendingOrders.remove(pending.endpoint.incarnation());
+			}, this.control);
 	}
 
 	private record PendingLoad(String model, long deadlineMillis) {
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
@@ -5,9 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.stream.Collectors;
 
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.PlatformStore;
@@ -17,6 +15,7 @@
 import org.monsoonvalve.core.process.LogEvent;
 import org.monsoonvalve.core.request.ServingException;
 import org.monsoonvalve.gateway.version.EndpointRecord;
+import org.monsoonvalve.gateway.version.EngineAddress;
 import org.monsoonvalve.gateway.version.EngineProfile;
 import org.monsoonvalve.gateway.version.FleetView;
 import org.monsoonvalve.gateway.version.GroupOrder;
@@ -44,21 +43,6 @@
 	 */
 	private static final long HEAD_TIMEOUT_MARGIN_MILLIS = 500;
 
-	/**
-	 * Base of the exponential backoff of attempts to close a head without a record; each
-	 * attempt doubles the delay.
-	 */
-	private static final long CLOSE_RETRY_MILLIS = 700;
-
-	/** Longest delay between two such attempts. */
-	private static final long MAX_CLOSE_RETRY_MILLIS = 6000;
-
-	/**
-	 * Time after which a group whose members are all unreachable is no longer planned;
-	 * partitions of a zone are shorter, and its groups then resume unchanged.
-	 */
-	private static final long GROUP_EXPIRY_MILLIS = 120_000;
-
 	private final String zone;
 
 	private final GatewaySettings settings;
@@ -77,8 +61,6 @@
 
 	private final DecisionLog log;
 
-	private final Map<ReplicaGroup.MemberVm, EndpointRecord> lastHeadRecords = new HashMap<>();
-
 	private final Map<String, SuspectedHead> suspectedHeads = new HashMap<>();
 
 	private FleetView view = FleetView.empty();
@@ -105,20 +87,9 @@
 
 	void update(FleetView newView) {
 		this.view = newView;
-		retainHeadRecords();
 		step();
 	}
 
-	// A head whose record was removed may still be reachable at its last address.
-	private void retainHeadRecords() {
-		List<ReplicaGroup> groups = this.view.groupsOf(this.zone).groups().groups();
-		Set<ReplicaGroup.MemberVm> heads = groups.stream().map(ReplicaGroup::head).collect(Collectors.toSet());
-		this.lastHeadRecords.keySet().retainAll(heads);
-		heads.stream()
-			.filter(this::hasRecord)
-			.forEach((head) -> this.lastHeadRecords.put(head, this.view.endpoints().get(head.id())));
-	}
-
 	/**
 	 * Probes the members of a group whose requests have stalled.
 	 * @param head the record of the group's head
@@ -256,7 +227,7 @@
 			if (record == null) {
 				SuspectedHead suspected = updateSuspicion(group);
 				requestClose(group, suspected);
-				liveness.put(group.name(), suspected.liveness(headTimeoutMillis()));
+				liveness.put(group.name(), suspected.liveness(headTimeoutMillis(), EventLoop.nowMillis()));
 			}
 			else if (record.bornMillis() != head.bornMillis()) {
 				liveness.put(group.name(), HeadLiveness.REPLACED);
@@ -280,13 +251,13 @@
 	private SuspectedHead updateSuspicion(ReplicaGroup group) {
 		long now = EventLoop.nowMillis();
 		String head = group.head().incarnation();
-		SuspectedHead suspected = this.suspectedHeads.computeIfAbsent(group.name(),
-				(absent) -> new SuspectedHead(this.prober.silentSinceMillis(head).orElse(now)));
+		SuspectedHead suspected = this.suspectedHeads.computeIfAbsent(group.name(), (absent) -> new SuspectedHead(now));
+		suspected.observeProbes(this.prober.silentSinceMillis(head), this.prober.lastAnswerMillis(head));
 		List<EndpointRecord> others = presentRecords(group).stream()
 			.filter((record) -> !record.incarnation().equals(head))
 			.toList();
 		this.prober.probe(others);
-		suspected.detector.membersAnswered(others.stream()
+		suspected.membersAnswered(others.stream()
 			.map((record) -> this.prober.lastAnswerMillis(record.incarnation()))
 			.filter(OptionalLong::isPresent)
 			.mapToLong(OptionalLong::getAsLong)
@@ -294,71 +265,29 @@
 		return suspected;
 	}
 
+	// A head without a record may still be reachable, and serve, at its last address.
 	private void requestClose(ReplicaGroup group, SuspectedHead suspected) {
 		long now = EventLoop.nowMillis();
-		Optional<EndpointRecord> lastRecord = Optional.ofNullable(this.lastHeadRecords.get(group.head()));
-		if (lastRecord.isEmpty() || suspected.closePending
-				|| now - suspected.lastCloseMillis < suspected.retryDelayMillis) {
+		Optional<EngineAddress> head = group.headEngine();
+		if (head.isEmpty() || !suspected.isCloseDue(now)) {
 			return;
 		}
-		suspected.retryDelayMillis = Math.min(MAX_CLOSE_RETRY_MILLIS, 2 * suspected.retryDelayMillis);
-		suspected.closePending = true;
-		suspected.lastCloseMillis = now;
-		this.engines.orderCount(lastRecord.get(), OrderExecutor.REPORT_TIMEOUT_MILLIS)
-			.thenCompose((count) -> this.engines.order(lastRecord.get(), GroupOrder.of(GroupOrder.Action.CLOSE, group),
-					count))
+		suspected.closeSent(now);
+		this.engines.orderCount(head.get(), OrderExecutor.REPORT_TIMEOUT_MILLIS)
+			.thenCompose(
+					(count) -> this.engines.order(head.get(), GroupOrder.of(GroupOrder.Action.CLOSE, group), count))
 			.whenCompleteAsync((outcome, failure) -> {
-				suspected.closePending = false;
 				if (failure != null) {
-					this.log.record(LogEvent.ORDER_UNANSWERED, "endpoint", lastRecord.get().id(), "action", "CLOSE",
-							"group", group.name(), "reason", ServingException.from(failure).getMessage());
+					this.log.record(LogEvent.ORDER_UNANSWERED, "endpoint", head.get().id(), "action", "CLOSE", "group",
+							group.name(), "reason", ServingException.from(failure).getMessage());
 				}
 				else {
-					this.log.record(LogEvent.ORDER_ANSWERED, "endpoint", lastRecord.get().id(), "action", "CLOSE",
-							"group", group.name(), "outcome", outcome);
-				}
-				boolean answered = failure == null && outcome != GroupOrder.Outcome.UNANSWERED
-						&& outcome != GroupOrder.Outcome.MOVED;
-				if (answered) {
-					suspected.detector.headAnswered(EventLoop.nowMillis());
+					this.log.record(LogEvent.ORDER_ANSWERED, "endpoint", head.get().id(), "action", "CLOSE", "group",
+							group.name(), "outcome", outcome);
 				}
-				suspected.closed = outcome == GroupOrder.Outcome.DONE || outcome == GroupOrder.Outcome.MOVED;
+				suspected.closeCompleted((failure != null) ? GroupOrder.Outcome.UNANSWERED : outcome,
+						EventLoop.nowMillis());
 			}, this.control);
 	}
 
-	/**
-	 * A head that is missing or has no record, with the evidence of its failure.
-	 */
-	private static final class SuspectedHead {
-
-		private final HeadFailureDetector detector;
-
-		private final long suspectedSinceMillis = EventLoop.nowMillis();
-
-		private long retryDelayMillis = CLOSE_RETRY_MILLIS;
-
-		private long lastCloseMillis;
-
-		private boolean closePending;
-
-		private boolean closed;
-
-		private SuspectedHead(long silentSinceMillis) {
-			this.detector = new HeadFailureDetector(silentSinceMillis);
-		}
-
-		private HeadLiveness liveness(long headTimeoutMillis) {
-			long now = EventLoop.nowMillis();
-			if (this.closed) {
-				return HeadLiveness.CLOSED;
-			}
-			if (this.detector.silentLongerThan(headTimeoutMillis, now)) {
-				return HeadLiveness.UNRESPONSIVE;
-			}
-			return (now - this.suspectedSinceMillis > GROUP_EXPIRY_MILLIS) ? HeadLiveness.EXPIRED
-					: HeadLiveness.UNKNOWN;
-		}
-
-	}
-
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/EndpointRecord.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/EndpointRecord.java
@@ -47,6 +47,14 @@
 		return this.id + "@" + this.bornMillis;
 	}
 
+	/**
+	 * Returns the address of the endpoint's engine.
+	 * @return the address
+	 */
+	public EngineAddress engine() {
+		return new EngineAddress(this.id, this.address);
+	}
+
 	/**
 	 * Tells whether the VM can join a group of a model without loading from the weight
 	 * store.
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaGroup.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaGroup.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
+
+import org.monsoonvalve.core.connection.Address;
 
 /**
  * A planned replica of a model that spans several VMs, one of which, the head, accepts
@@ -15,8 +18,11 @@
  * @param members the incarnations of its members, the head first
  * @param successor the model that preempts the group and gets its VMs, empty if the group
  * is not preempted
+ * @param headAddress the address at which the head accepts orders, also when it has no
+ * record, {@code null} if the group was planned without it
  */
-public record ReplicaGroup(String name, long epoch, String model, List<MemberVm> members, String successor) {
+public record ReplicaGroup(String name, long epoch, String model, List<MemberVm> members, String successor,
+		Address headAddress) {
 
 	/**
 	 * Creates a group with a copy of the members; a {@code null} successor becomes empty.
@@ -35,7 +41,7 @@
 	 * @return the group
 	 */
 	public static ReplicaGroup of(String name, long epoch, String model, List<MemberVm> members) {
-		return new ReplicaGroup(name, epoch, model, members, "");
+		return new ReplicaGroup(name, epoch, model, members, "", null);
 	}
 
 	/**
@@ -44,7 +50,16 @@
 	 * @return the preempted group
 	 */
 	public ReplicaGroup preemptedBy(String nextModel) {
-		return new ReplicaGroup(this.name, this.epoch, this.model, this.members, nextModel);
+		return new ReplicaGroup(this.name, this.epoch, this.model, this.members, nextModel, this.headAddress);
+	}
+
+	/**
+	 * Returns a copy of the group with the address of its head.
+	 * @param address the address
+	 * @return the group
+	 */
+	ReplicaGroup withHeadAddress(Address address) {
+		return new ReplicaGroup(this.name, this.epoch, this.model, this.members, this.successor, address);
 	}
 
 	/**
@@ -63,6 +78,14 @@
 		return this.members.get(0);
 	}
 
+	/**
+	 * Returns the head's engine, which can be asked also when the head has no record.
+	 * @return the engine, empty if its address is unknown
+	 */
+	public Optional<EngineAddress> headEngine() {
+		return Optional.ofNullable(this.headAddress).map((address) -> new EngineAddress(head().id(), address));
+	}
+
 	/**
 	 * A member of a group, as one incarnation of an endpoint.
 	 *
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
@@ -41,6 +41,7 @@
 		planner.reconcileGroups();
 		planner.formGroups();
 		planner.preemptForLeastProvisionedModel();
+		planner.groups = planner.groups.withHeadAddresses(snapshot::record);
 		planner.orders.addAll(WeightStaging.orders(planner.allocation()));
 		return new Plan(planner.groups, planner.orders, planner.removed);
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ZoneGroups.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ZoneGroups.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -104,6 +105,22 @@
 		return new ZoneGroups(Math.max(this.lastEpoch, found.epoch()), all, this.version + 1);
 	}
 
+	/**
+	 * Returns a copy in which groups whose head's address is unknown have the one of the
+	 * head's record.
+	 * @param records finds the current record of a member
+	 * @return the copy, or this value if no address was added
+	 */
+	ZoneGroups withHeadAddresses(Function<ReplicaGroup.MemberVm, Optional<EndpointRecord>> records) {
+		List<ReplicaGroup> all = this.groups.stream()
+			.map((group) -> group.headEngine().isPresent() ? group
+					: records.apply(group.head())
+						.map((record) -> group.withHeadAddress(record.address()))
+						.orElse(group))
+			.toList();
+		return all.equals(this.groups) ? this : new ZoneGroups(this.lastEpoch, all, this.version + 1);
+	}
+
 	/**
 	 * Returns the incarnations of the groups' heads.
 	 * @return the incarnation keys
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/MemberProberTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/MemberProberTests.java
@@ -14,6 +14,7 @@
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 import org.monsoonvalve.gateway.version.EndpointRecord;
+import org.monsoonvalve.gateway.version.EngineAddress;
 import org.monsoonvalve.gateway.version.GroupMembership;
 import org.monsoonvalve.gateway.version.GroupOrder;
 import org.monsoonvalve.gateway.version.GroupState;
@@ -36,14 +37,14 @@
 		EngineControl engines = new EngineControl() {
 
 			@Override
-			public CompletableFuture<GroupOrder.Outcome> order(EndpointRecord endpoint, GroupOrder order,
+			public CompletableFuture<GroupOrder.Outcome> order(EngineAddress engine, GroupOrder order,
 					long expectedCount) {
 				throw new AssertionError("a probe must not send orders");
 			}
 
 			@Override
-			public CompletableFuture<Long> orderCount(EndpointRecord endpoint, long timeoutMillis) {
-				Probe probe = new Probe(endpoint.id(), new CompletableFuture<>());
+			public CompletableFuture<Long> orderCount(EngineAddress engine, long timeoutMillis) {
+				Probe probe = new Probe(engine.id(), new CompletableFuture<>());
 				MemberProberTests.this.probes.add(probe);
 				return probe.answer();
 			}
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/OrderExecutorTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/OrderExecutorTests.java
@@ -10,6 +10,7 @@
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.gateway.version.EndpointRecord;
+import org.monsoonvalve.gateway.version.EngineAddress;
 import org.monsoonvalve.gateway.version.GroupMembership;
 import org.monsoonvalve.gateway.version.GroupOrder;
 import org.monsoonvalve.gateway.version.GroupState;
@@ -45,13 +46,13 @@
 		EngineControl engines = new EngineControl() {
 
 			@Override
-			public CompletableFuture<GroupOrder.Outcome> order(EndpointRecord endpoint, GroupOrder order,
+			public CompletableFuture<GroupOrder.Outcome> order(EngineAddress engine, GroupOrder order,
 					long expectedCount) {
 				return CompletableFuture.completedFuture(GroupOrder.Outcome.BEGUN);
 			}
 
 			@Override
-			public CompletableFuture<Long> orderCount(EndpointRecord endpoint, long timeoutMillis) {
+			public CompletableFuture<Long> orderCount(EngineAddress engine, long timeoutMillis) {
 				return CompletableFuture.completedFuture(2L);
 			}
 
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
@@ -1,5 +1,6 @@
 package org.monsoonvalve.gateway.version;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -9,6 +10,7 @@
 
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.StorePosition;
+import org.monsoonvalve.core.process.Codec;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -37,6 +39,11 @@
 		return new ReplicaGroup.MemberVm(id, 1);
 	}
 
+	// Adds the addresses that the planner stores when it forms the groups.
+	private static ZoneGroups withHeadAddresses(ZoneGroups groups) {
+		return groups.withHeadAddresses((head) -> Optional.of(vm(head.id(), "d1", "", null)));
+	}
+
 	private static GroupMembership membership(ReplicaGroup group, int rank, GroupState state) {
 		return new GroupMembership(group.name(), group.epoch(), rank, state);
 	}
@@ -122,9 +129,9 @@
 
 	@Test
 	public void keepsMembersWhileHeadIsOpenOrClosing() {
-		ZoneGroups groups = ZoneGroups.empty()
+		ZoneGroups groups = withHeadAddresses(ZoneGroups.empty()
 			.with("kano-a", "small", List.of(member("a"), member("b")))
-			.with("kano-a", "small", List.of(member("c"), member("d")));
+			.with("kano-a", "small", List.of(member("c"), member("d"))));
 		ReplicaGroup first = groups.groups().get(0);
 		ReplicaGroup second = groups.groups().get(1);
 		for (GroupState state : List.of(GroupState.OPEN, GroupState.CLOSING)) {
@@ -170,6 +177,31 @@
 		Assert.assertEquals(plan(survivors, groups, liveness, 3).groups().groups().size(), 1);
 	}
 
+	// A planner that starts later can't learn the address of a head that has lost its
+	// record.
+	@Test
+	public void storesTheAddressOfEachHeadWithItsGroup() {
+		List<EndpointRecord> endpoints = List.of(vm("a", "d1", "small", null), vm("b", "d1", "small", null));
+		ZoneGroups formed = plan(endpoints, ZoneGroups.empty(), Map.of(), 0).groups();
+		ZoneGroups stored = Codec.JSON.decode(Codec.JSON.encode(formed), ZoneGroups.class);
+		Assert.assertEquals(stored, formed);
+		Assert.assertEquals(stored.groups().get(0).headEngine(),
+				Optional.of(new EngineAddress(stored.groups().get(0).head().id(), new Address("10.0.0.1", 80))));
+		ZoneGroups planned = ZoneGroups.empty().with("kano-a", "small", List.of(member("a"), member("b")));
+		Assert.assertTrue(plan(endpoints, planned, Map.of(), 0).groups().groups().get(0).headEngine().isPresent(),
+				"a group that was stored without the address");
+		Assert.assertEquals(plan(endpoints.subList(1, 2), stored, Map.of(), 0).groups(), stored,
+				"the address outlives the record");
+	}
+
+	@Test
+	public void decodesGroupsThatAnEarlierBuildStored() {
+		ZoneGroups stored = Codec.JSON.decode("""
+				{"lastEpoch":1,"version":1,"groups":[{"name":"kano-a-1","epoch":1,"model":"small","successor":"",
+				 "members":[{"id":"a","bornMillis":1}]}]}""".getBytes(StandardCharsets.UTF_8), ZoneGroups.class);
+		Assert.assertEquals(stored.groups().get(0).headEngine(), Optional.empty());
+	}
+
 	@Test
 	public void keepsMembersOfServingHeadWhoseGroupIsNoLongerPlanned() {
 		ReplicaGroup unplanned = ReplicaGroup.of("kano-a-3", 3, "small", List.of(member("a"), member("b")));
@@ -235,7 +267,7 @@
 
 	@Test
 	public void preemptsNoGroupWithoutWeightsOrOfModelThatWouldBeUnderprovisioned() {
-		ZoneGroups groups = fiveSmallGroups();
+		ZoneGroups groups = withHeadAddresses(fiveSmallGroups());
 		Assert.assertEquals(
 				plan(smallGroupsAndSurvivors(groups, GroupState.OPEN, "small", 3), groups, Map.of(), 0).groups(),
 				groups);
