Complete a response without a length only at an end that the peer sent

Cause: such a response was complete whenever its connection ended without an error while reading. A server that closes with unread data ends its side and then resets the connection; reading returns the end, and the write of the rest of the request fails after it. A trace of the client shows this order. A failed write that closes the connection and a close on this side completed the response as well.

The end must have been read from the peer, with no failed write; while the request is being written, it waits until that has succeeded. The transport filter notes the end in place of a reset.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
@@ -12,8 +12,6 @@
 
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.Grizzly;
-import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -35,9 +33,6 @@
  */
 public final class HttpClient implements AutoCloseable {
 
-	private static final Attribute<HttpConnection> CONNECTION = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
-		.createAttribute(HttpClient.class.getName());
-
 	private static final int MAX_IDLE_PER_ADDRESS = 4;
 
 	private static final ConcurrentLinkedDeque<HttpConnection> NO_IDLE_CONNECTIONS = new ConcurrentLinkedDeque<>();
@@ -105,7 +100,7 @@
 		codec.setPreserveHeaderCase(true);
 		TCPNIOConnectorHandler connector = TCPNIOConnectorHandler.builder(transport)
 			.processor(FilterChainBuilder.stateless()
-				.add(new ResetAwareTransportFilter())
+				.add(new EndAwareTransportFilter())
 				.add(codec)
 				.add(new ResponseFilter())
 				.build())
@@ -128,7 +123,6 @@
 			@SuppressWarnings("rawtypes")
 			public void completed(Connection connection) {
 				HttpConnection httpConnection = new HttpConnection(address, connection, HttpClient.this.timer);
-				CONNECTION.set(connection, httpConnection);
 				if (!opened.complete(httpConnection)) {
 					httpConnection.close();
 				}
@@ -239,7 +233,7 @@
 		@Override
 		public NextAction handleRead(FilterChainContext context) {
 			HttpContent content = context.getMessage();
-			HttpConnection connection = CONNECTION.get(context.getConnection());
+			HttpConnection connection = HttpConnection.of(context.getConnection());
 			if (connection != null) {
 				connection.handleContent(content);
 			}
@@ -249,7 +243,7 @@
 
 		@Override
 		public NextAction handleClose(FilterChainContext context) {
-			HttpConnection connection = CONNECTION.get(context.getConnection());
+			HttpConnection connection = HttpConnection.of(context.getConnection());
 			if (connection != null) {
 				connection.handleClose();
 			}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
@@ -9,7 +9,9 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
@@ -28,6 +30,9 @@
  */
 public final class HttpConnection {
 
+	private static final Attribute<HttpConnection> ATTRIBUTE = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
+		.createAttribute(HttpConnection.class.getName());
+
 	private final Address address;
 
 	private final Connection<?> connection;
@@ -44,6 +49,16 @@
 		this.address = address;
 		this.connection = connection;
 		this.timer = timer;
+		ATTRIBUTE.set(connection, this);
+	}
+
+	/**
+	 * Finds the client connection that uses a transport connection.
+	 * @param connection the transport connection
+	 * @return the client connection, {@code null} if there is none yet
+	 */
+	static HttpConnection of(Connection<?> connection) {
+		return ATTRIBUTE.get(connection);
 	}
 
 	/**
@@ -106,7 +121,7 @@
 					"the connection to " + this.address + " is closed or busy");
 		}
 		exchange.scheduleProgressCheck(progressTimeoutMillis);
-		write(this.connection, encode(request), () -> exchange.requestWritten = true);
+		write(this.connection, encode(request), exchange);
 		if (!this.connection.isOpen()) {
 			handleClose();
 		}
@@ -146,7 +161,7 @@
 
 	void handleClose() {
 		Exchange exchange = this.inFlight.get();
-		if (exchange != null && exchange.completesOnClose() && !ResetAwareTransportFilter.wasReset(this.connection)) {
+		if (exchange != null && exchange.completedByPeer()) {
 			exchange.complete();
 			return;
 		}
@@ -154,12 +169,38 @@
 				new ServingException(FailureCode.ENDPOINT_LOST, "the connection to " + this.address + " was closed"));
 	}
 
-	private static <L> void write(Connection<L> connection, HttpContent content, Runnable onWritten) {
+	/**
+	 * Tells whether a close-delimited response is arriving whose request is still being
+	 * written.
+	 * @return {@code true} if so
+	 */
+	boolean awaitsRequestWrite() {
+		Exchange exchange = this.inFlight.get();
+		return exchange != null && exchange.closeDelimited && !exchange.requestWrite.isDone();
+	}
+
+	/**
+	 * Runs an action once the request in flight has been written; never if that fails.
+	 * @param action the action
+	 */
+	void onRequestWritten(Runnable action) {
+		Exchange exchange = this.inFlight.get();
+		if (exchange != null) {
+			exchange.requestWrite.thenRun(action);
+		}
+	}
+
+	private static <L> void write(Connection<L> connection, HttpContent content, Exchange exchange) {
 		connection.write(content, new EmptyCompletionHandler<WriteResult<HttpContent, L>>() {
 
 			@Override
 			public void completed(WriteResult<HttpContent, L> result) {
-				onWritten.run();
+				exchange.requestWrite.complete(null);
+			}
+
+			@Override
+			public void failed(Throwable cause) {
+				exchange.writeFailed = true;
 			}
 
 		});
@@ -211,7 +252,9 @@
 
 		private boolean headersReceived;
 
-		private volatile boolean requestWritten;
+		private final CompletableFuture<Void> requestWrite = new CompletableFuture<>();
+
+		private volatile boolean writeFailed;
 
 		private volatile boolean closeDelimited;
 
@@ -271,9 +314,7 @@
 				buffer.get(chunk);
 				this.listener.onBody(chunk);
 			}
-			// A reset does not complete a close-delimited response.
-			if (content.isLast() && this.closeDelimited
-					&& ResetAwareTransportFilter.wasReset(HttpConnection.this.connection)) {
+			if (content.isLast() && this.closeDelimited) {
 				handleClose();
 			}
 			else if (content.isLast()) {
@@ -281,12 +322,16 @@
 			}
 		}
 
-		private boolean completesOnClose() {
-			return this.headersReceived && this.closeDelimited;
+		// Any other end, also one that a failed write or this side brought about, leaves
+		// a close-delimited response incomplete. A failed write consumes the error of a
+		// reset, after which reading returns an end.
+		private boolean completedByPeer() {
+			return this.headersReceived && this.closeDelimited && !this.writeFailed
+					&& EndAwareTransportFilter.endedByPeer(HttpConnection.this.connection);
 		}
 
 		private void complete() {
-			if (!this.requestWritten) {
+			if (!this.requestWrite.isDone()) {
 				HttpConnection.this.reusable = false;
 			}
 			if (HttpConnection.this.inFlight.compareAndSet(this, null)) {
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpConnectionTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpConnectionTests.java
@@ -4,10 +4,13 @@
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
@@ -20,6 +23,14 @@
 
 	private static final int MAX_BODY_BYTES = 1000;
 
+	private static final int SERVER_RECEIVE_BUFFER_BYTES = 64 * 1024;
+
+	/** More than the buffers of both sockets hold. */
+	private static final int LARGE_REQUEST_BYTES = 8_000_000;
+
+	/** Which side of the connection meets a reset first varies from run to run. */
+	private static final int RESET_RUNS = 8;
+
 	private final HttpClient client = HttpClient.start(1000);
 
 	@AfterClass
@@ -94,6 +105,102 @@
 		}
 	}
 
+	// Reads the head of a request that is still being written, and begins a response that
+	// ends with the connection.
+	private ServerSocket startEarlyResponder(ConnectionEnd end) throws IOException {
+		ServerSocket server = new ServerSocket();
+		server.setReceiveBufferSize(SERVER_RECEIVE_BUFFER_BYTES);
+		server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+		Thread thread = new Thread(() -> {
+			try {
+				Socket socket = server.accept();
+				socket.getInputStream().read(new byte[1024]);
+				OutputStream output = socket.getOutputStream();
+				output.write("HTTP/1.1 200 OK\r\n\r\n12345".getBytes(StandardCharsets.US_ASCII));
+				output.flush();
+				TimeUnit.MILLISECONDS.sleep(100);
+				end.apply(socket);
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+		thread.setDaemon(true);
+		thread.start();
+		return server;
+	}
+
+	private static CompletableFuture<HttpResponse> sendLargeRequest(HttpConnection connection) {
+		return connection.exchange(HttpRequest.json("POST", "/", "x".repeat(LARGE_REQUEST_BYTES)), 5000,
+				MAX_BODY_BYTES);
+	}
+
+	// A server that crashed while the request was still being written reset the
+	// connection,
+	// and half of its response was taken for the whole one.
+	@Test
+	public void aResetWhileTheRequestIsWrittenIsNoEndOfAResponseWithoutLength() throws IOException {
+		for (int i = 0; i < RESET_RUNS; i++) {
+			// The kernel resets a connection that is closed with unread data.
+			try (ServerSocket server = startEarlyResponder(Socket::close)) {
+				CompletableFuture<HttpResponse> response = sendLargeRequest(connect(server));
+				CompletionException thrown = Assert.expectThrows(CompletionException.class, response::join);
+				Assert.assertEquals(ServingException.from(thrown).code(), FailureCode.ENDPOINT_LOST);
+			}
+		}
+	}
+
+	@Test
+	public void anOrderlyEndCompletesAResponseWithoutLengthIfThePeerReadsTheRequest() throws IOException {
+		try (ServerSocket server = startEarlyResponder((socket) -> {
+			socket.shutdownOutput();
+			socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+		})) {
+			Assert.assertEquals(new String(sendLargeRequest(connect(server)).join().body(), StandardCharsets.US_ASCII),
+					"12345");
+		}
+	}
+
+	// A response that the peer had not ended counted as complete once this side closed
+	// the
+	// connection.
+	@Test
+	public void closingTheConnectionIsNoEndOfAResponseWithoutLength() throws Exception {
+		try (ServerSocket server = startEarlyResponder((socket) -> {
+		})) {
+			HttpConnection connection = connect(server);
+			CompletableFuture<Void> begun = new CompletableFuture<>();
+			CompletableFuture<String> end = new CompletableFuture<>();
+			connection.send(HttpRequest.get("/"), 5000, new ResponseListener() {
+
+				@Override
+				public void onHeaders(int status, Headers headers) {
+				}
+
+				@Override
+				public void onBody(byte[] chunk) {
+					begun.complete(null);
+				}
+
+				@Override
+				public void onComplete() {
+					end.complete("complete");
+				}
+
+				@Override
+				public void onFailure(ServingException failure) {
+					end.complete(failure.code().name());
+				}
+			});
+			begun.get(5, TimeUnit.SECONDS);
+			connection.close();
+			Assert.assertEquals(end.get(5, TimeUnit.SECONDS), FailureCode.ENDPOINT_LOST.name());
+		}
+	}
+
 	@Test
 	public void aResponseLargerThanTheLimitIsAnswerTooLarge() throws IOException {
 		String large = "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + "x".repeat(2000);
@@ -109,4 +216,13 @@
 		Assert.assertEquals(ServingException.from(thrown).code(), FailureCode.UNREACHABLE);
 	}
 
+	/**
+	 * The way in which a server ends a connection.
+	 */
+	private interface ConnectionEnd {
+
+		void apply(Socket socket) throws IOException;
+
+	}
+
 }
