Reject addresses whose host is not an IP address

Report of another operator: a process that read odd entries of servers no longer followed the list.

Cause: the check of an address looked at its characters only, so that 999.1.1.1 or dead.beef passed. Opening a connection then looks the host up, on the event loop or the planning thread, which wait for the resolver meanwhile.

IPv4 is checked by its octets, IPv6 by the parser of the JDK, which needs no lookup for text with a colon.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/Address.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/Address.java
@@ -1,6 +1,9 @@
 package org.monsoonvalve.core.connection;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
@@ -18,7 +21,13 @@
 
 	private static final int MAX_PORT = 65_535;
 
-	private static final String IP_CHARACTERS = "[0-9a-fA-F.:]+";
+	private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+
+	private static final Pattern IPV4 = Pattern.compile("(" + OCTET + "\\.){3}" + OCTET);
+
+	private static final Pattern IPV6_CHARACTERS = Pattern.compile("[0-9a-fA-F.:]*:[0-9a-fA-F.:]*");
+
+	private static final Pattern PORT = Pattern.compile("[0-9]{1,5}");
 
 	/**
 	 * Parses {@code host:port}.
@@ -35,12 +44,28 @@
 		}
 		String host = text.substring(0, colon);
 		String port = text.substring(colon + 1);
-		if (!host.matches(IP_CHARACTERS) || !port.matches("[0-9]{1,5}") || Integer.parseInt(port) > MAX_PORT) {
+		if (!isIpAddress(host) || !PORT.matcher(port).matches() || Integer.parseInt(port) > MAX_PORT) {
 			throw invalid(text);
 		}
 		return new Address(host, Integer.parseInt(port));
 	}
 
+	// Any other host would be looked up, on the thread that opens the connection.
+	private static boolean isIpAddress(String host) {
+		return IPV4.matcher(host).matches() || (IPV6_CHARACTERS.matcher(host).matches() && isIpv6Address(host));
+	}
+
+	private static boolean isIpv6Address(String host) {
+		try {
+			// Needs no lookup, as only an IPv6 address has a colon.
+			InetAddress.getByName(host);
+			return true;
+		}
+		catch (UnknownHostException ex) {
+			return false;
+		}
+	}
+
 	private static ServingException invalid(String text) {
 		return new ServingException(FailureCode.INVALID_SETTING,
 				"address '" + text + "' is not an IP address and a port, such as 10.0.0.1:8080");
