Answer the requests in progress at the end of a planned stop, whatever the grace time is

Report of another operator: in a planned stop, late requests were passed on and cut off without an answer (LOST).

Cause: the times of a stop were constants that fit a grace time of 8 s. With 4 s, requests were accepted up to the moment at which the process no longer waits for them; with less than 3.5 s the process was killed. With any grace time, the connections of requests in progress were closed at the end without an answer.

DrainSchedule derives the times from the grace time; for 8 s they are as before (accepted for 2.8 s, end at 6.8 s). At the end, requests in progress get 503 if they certainly have not run and 502 if they may have; streams that have begun are cut, not completed. REQUESTS_ENDED tells how many.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
@@ -103,6 +103,9 @@
 	/** A gateway reloaded its settings. */
 	GATEWAY_RELOADED(6004, Level.INFO, "gateway reloaded its settings"),
 
+	/** A gateway that stops ended the requests in progress with a failure. */
+	REQUESTS_ENDED(6005, Level.WARN, "the grace time ended before all requests"),
+
 	/** A value in the platform store can't be decoded. */
 	FACT_REFUSED(6101, Level.WARN, "a value in the platform store can't be decoded"),
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -65,22 +65,8 @@
 	 */
 	private static final HttpLimits HTTP_LIMITS = new HttpLimits(64 * 1024, 4 * 1024 * 1024 + 64 * 1024, 1024 * 1024);
 
-	/**
-	 * Shortest time from the stop signal to the end, in which the load balancer notices
-	 * that this process is not ready: two readiness checks a second apart, and one more
-	 * for checks in progress at the signal.
-	 */
-	private static final long MIN_DRAIN_MILLIS = 3500;
-
-	/**
-	 * Time after the stop signal during which requests are still accepted. By then the
-	 * load balancer uses other processes, or has none left, and a request that begins
-	 * later might not end in time.
-	 */
-	private static final long ACCEPT_AFTER_STOP_MILLIS = 2800;
-
-	/** Part of the grace time that is reserved for the exit of the process itself. */
-	private static final long EXIT_MARGIN_MILLIS = 1200;
+	/** Time for the last answers to leave before the connections are closed. */
+	private static final long LAST_ANSWERS_MILLIS = 150;
 
 	/** Interval between two comparisons of the evidence of crashes with a peer. */
 	private static final long CRASH_COMPARE_INTERVAL_MILLIS = 1000;
@@ -355,7 +341,7 @@
 	/**
 	 * Drains and stops the gateway within the grace time. Readiness checks fail at once;
 	 * requests are accepted until the load balancer has switched, and those in progress
-	 * are completed.
+	 * are completed, or answered with a failure shortly before the grace time is over.
 	 */
 	public void stop() {
 		long startMillis = EventLoop.nowMillis();
@@ -364,20 +350,35 @@
 		this.log.record(LogEvent.GATEWAY_DRAINING, "in_progress", this.dispatcher.inProgress());
 		this.registration.deregister();
 		this.zones.forEach((zone) -> runAndLogFailure("resign", zone.election()::resign));
-		long deadlineMillis = startMillis + this.settings.get().limits().graceMillis() - EXIT_MARGIN_MILLIS;
-		while (EventLoop.nowMillis() < startMillis + ACCEPT_AFTER_STOP_MILLIS) {
+		DrainSchedule schedule = DrainSchedule.of(this.settings.get().limits().graceMillis());
+		while (EventLoop.nowMillis() < startMillis + schedule.acceptMillis()) {
 			LockSupport.parkNanos(DRAIN_POLL_NANOS);
 		}
 		this.dispatcher.stop();
-		while (EventLoop.nowMillis() < startMillis + MIN_DRAIN_MILLIS
-				|| (this.callers.callsInProgress() > 0 && EventLoop.nowMillis() < deadlineMillis)) {
+		while (EventLoop.nowMillis() < startMillis + schedule.minMillis()
+				|| (this.callers.callsInProgress() > 0 && EventLoop.nowMillis() < startMillis + schedule.endMillis())) {
 			LockSupport.parkNanos(DRAIN_POLL_NANOS);
 		}
+		endRequests();
 		this.log.record(LogEvent.GATEWAY_STOPPED, "in_progress", this.callers.callsInProgress());
 		this.callers.close();
 		this.storeSync.close();
 	}
 
+	// A request that is answered is not cut off, and the answer says whether it may have
+	// run.
+	private void endRequests() {
+		int inProgress = this.callers.callsInProgress();
+		if (inProgress > 0) {
+			this.log.record(LogEvent.REQUESTS_ENDED, "in_progress", inProgress);
+			this.loop.execute(this.dispatcher::endAll);
+			long endMillis = EventLoop.nowMillis() + LAST_ANSWERS_MILLIS;
+			while (EventLoop.nowMillis() < endMillis) {
+				LockSupport.parkNanos(DRAIN_POLL_NANOS);
+			}
+		}
+	}
+
 	private static ScheduledExecutorService daemonScheduler(String name) {
 		ScheduledThreadPoolExecutor scheduler = new ScheduledThreadPoolExecutor(1, (task) -> {
 			Thread thread = new Thread(task, name);
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
@@ -161,6 +161,14 @@
 		this.stopping = true;
 	}
 
+	/**
+	 * Ends the requests in progress with a failure that says whether they may have run;
+	 * responses that have begun are aborted. Must be called on the event loop.
+	 */
+	public void endAll() {
+		List.copyOf(this.exchanges).forEach(Exchange::processEnds);
+	}
+
 	/**
 	 * Returns the number of requests in progress.
 	 * @return the number of requests
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -226,6 +226,14 @@
 		}
 	}
 
+	// Answers the request before the process ends and closes its connection.
+	void processEnds() {
+		if (!this.done) {
+			fail(new ServingException(this.mayHaveRun ? FailureCode.ENDPOINT_LOST : FailureCode.NOT_READY,
+					"this process is shutting down"));
+		}
+	}
+
 	private void callerDisconnected() {
 		if (!this.done) {
 			end();
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -205,6 +206,34 @@
 				"the deadline is positive and at most the route's timeout");
 	}
 
+	private void endAllAfter(Duration delay) {
+		this.loop.execute(() -> this.loop.schedule(delay.toMillis(), this.dispatcher::endAll));
+	}
+
+	// The connections of requests in progress were closed without an answer at the end of
+	// the grace time.
+	@Test
+	public void aRequestInProgressIsAnsweredWhenTheProcessEnds() throws IOException {
+		serve(RequestKind.UNSAFE, endpoint("", ScriptedEndpoint.ConnectionAction.KEEP).address());
+		endAllAfter(Duration.ofMillis(300));
+		String response = sendAndRead();
+		Assert.assertTrue(response.startsWith("HTTP/1.1 502"), "the request may have run: " + response);
+	}
+
+	@Test
+	public void aStreamInProgressIsNotCompletedWhenTheProcessEnds() throws IOException {
+		serve(RequestKind.STREAM,
+				endpoint(
+						"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nContent-Type: text/event-stream\r\n"
+								+ "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1)),
+						ScriptedEndpoint.ConnectionAction.KEEP)
+					.address());
+		endAllAfter(Duration.ofMillis(300));
+		String response = sendAndRead();
+		Assert.assertTrue(response.contains("data: e1") && !response.contains("\r\n0\r\n"), response);
+		Assert.assertEquals(response.split("HTTP/1.1", -1).length, 2, "no second head: " + response);
+	}
+
 	@DataProvider
 	public Object[][] lostResponses() {
 		return new Object[][] { { "", ScriptedEndpoint.ConnectionAction.CLOSE },
