Read the store's content when its changes are too large for one answer

Cause: a watch returns all changes since a position with their values; an answer over 4 MiB counted as a failed call, and the same watch was repeated until the store dropped its history.

The failure is logged. StoreSyncTests takes its ports from a loopback address that no connection uses, so that none is taken before it is opened.

Before: StoreSyncTests.changesThatAreTooLargeForOneAnswerAreLearnedByReadingTheStore fails (not met within 2000 ms).

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -99,6 +101,13 @@
 	/** Timeout for a peer's answer; the latency between peers is a few milliseconds. */
 	private static final long PEER_TIMEOUT_MILLIS = 400;
 
+	/**
+	 * Failures of a watch that would fail again: the store has dropped the changes, or
+	 * they are larger than a response may be. Its content is read instead.
+	 */
+	private static final Set<FailureCode> UNAVAILABLE_CHANGES = EnumSet.of(FailureCode.CONFLICT,
+			FailureCode.ANSWER_TOO_LARGE);
+
 	private final EraCheckedStore store;
 
 	private final GatewaySettings settings;
@@ -282,7 +291,8 @@
 				apply(changes);
 				schedule(() -> watchStore(sequence), coalesceMillis());
 			}
-			else if (ServingException.from(failure).code() == FailureCode.CONFLICT) {
+			else if (UNAVAILABLE_CHANGES.contains(ServingException.from(failure).code())) {
+				logFailure("watch the store", failure);
 				readStore(sequence);
 			}
 			else {
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/WatchableStore.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/WatchableStore.java
@@ -20,7 +20,9 @@
 	 * milliseconds
 	 * @return the changes; fails with
 	 * {@link org.monsoonvalve.core.request.FailureCode#CONFLICT} if the store no longer
-	 * keeps the changes after that position
+	 * keeps the changes after that position, and with
+	 * {@link org.monsoonvalve.core.request.FailureCode#ANSWER_TOO_LARGE} if they are
+	 * larger than a response may be
 	 */
 	CompletableFuture<Changes> changes(StorePosition after, long waitMillis);
 
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/InMemoryStore.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/InMemoryStore.java
@@ -25,6 +25,9 @@
 
 	private StorePosition position = new StorePosition(1, 1);
 
+	// The largest number of changes that a client accepts in one answer.
+	volatile int maxChanges = Integer.MAX_VALUE;
+
 	synchronized StorePosition put(String key, byte[] value) {
 		this.position = this.position.at(this.position.revision() + 1);
 		WatchableStore.Change change = new WatchableStore.Change(key, this.position, value);
@@ -118,7 +121,12 @@
 		@Override
 		public CompletableFuture<Changes> changes(StorePosition after, long waitMillis) {
 			this.watchCalls++;
-			return unlessRefused(watch(after.revision(), waitMillis));
+			return unlessRefused(watch(after.revision(), waitMillis).thenApply((changes) -> {
+				if (changes.changes().size() > InMemoryStore.this.maxChanges) {
+					throw new ServingException(FailureCode.ANSWER_TOO_LARGE, "too many changes");
+				}
+				return changes;
+			}));
 		}
 
 		@Override
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
@@ -1,6 +1,7 @@
 package org.monsoonvalve.gateway.process;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
@@ -36,6 +37,8 @@
 
 	private static final long START_TIMEOUT_MILLIS = 10_000;
 
+	private static final String HOST = "127.0.0.2";
+
 	private final List<Process> processes = new ArrayList<>();
 
 	private InMemoryStore store;
@@ -107,6 +110,22 @@
 		awaitEverywhere(this.processes, this.store.put("endpoints/vm-1", new byte[] { 'e' }), PROPAGATION_MILLIS);
 	}
 
+	// After a time without the store the changes were larger than a response may be, and
+	// the same watch was repeated until the store had dropped its history.
+	@Test
+	public void changesThatAreTooLargeForOneAnswerAreLearnedByReadingTheStore() throws InterruptedException {
+		this.processes.forEach((process) -> process.store.refused = true);
+		Thread.sleep(PROPAGATION_MILLIS);
+		StorePosition position = StorePosition.NONE;
+		for (int i = 0; i < 5; i++) {
+			position = this.store.put("endpoints/vm-" + i, new byte[] { 'e' });
+		}
+		this.store.maxChanges = 2;
+		this.processes.forEach((process) -> process.store.refused = false);
+		awaitEverywhere(this.processes, position, RECOVERY_MILLIS);
+		awaitEverywhere(this.processes, this.store.put("endpoints/vm-9", new byte[] { 'e' }), RECOVERY_MILLIS);
+	}
+
 	private static byte[] configuration(int version) {
 		return ("c" + version).getBytes(StandardCharsets.UTF_8);
 	}
@@ -204,9 +223,11 @@
 			this.view = newer;
 		}
 
+		// Connections use ports of 127.0.0.1 only, so none takes the port before it is
+		// opened.
 		private static Address freeAddress() throws IOException {
-			try (ServerSocket free = new ServerSocket(0)) {
-				return new Address("127.0.0.1", free.getLocalPort());
+			try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+				return new Address(HOST, free.getLocalPort());
 			}
 		}
 
