--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpServer.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -141,6 +142,15 @@
 		}
 	}
 
+	/**
+	 * Returns the address that the server listens on.
+	 * @return the address, with the port that the system chose if none was given
+	 */
+	public Address address() {
+		InetSocketAddress local = (InetSocketAddress) this.listener.getLocalAddress();
+		return new Address(local.getAddress().getHostAddress(), local.getPort());
+	}
+
 	/**
 	 * Starts draining: every later response asks the client to close its connection.
 	 */
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -1,7 +1,6 @@
 package org.monsoonvalve.gateway.request;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
@@ -72,8 +71,6 @@
 
 	private Dispatcher dispatcher;
 
-	private int port;
-
 	private final List<EndpointRecord> stalledEndpoints = new CopyOnWriteArrayList<>();
 
 	private static String chunk(String text) {
@@ -90,9 +87,6 @@
 			throw new IllegalStateException(failure);
 		});
 		this.client = HttpClient.start(this.loop, 300);
-		try (ServerSocket freePort = new ServerSocket(0)) {
-			this.port = freePort.getLocalPort();
-		}
 	}
 
 	@AfterMethod
@@ -141,7 +135,8 @@
 				new GatewaySettings.Bounds(8000, 0.2, 10_000, 100, 1.5, 5, 5000), () -> 1, log,
 				new RequestMetrics(new MetricRegistry()), this.stalledEndpoints::add, this.crashes,
 				new EndpointLimits("gateway-1", EventLoop::nowMillis, new NoLimitNews()));
-		this.frontend = HttpServer.start(this.loop, new Address("127.0.0.1", this.port),
+		// A port that was free some time before may be taken by a connection meanwhile.
+		this.frontend = HttpServer.start(this.loop, new Address("127.0.0.1", 0),
 				new HttpLimits(16384, 100_000, 100_000), this.dispatcher::accept);
 	}
 
@@ -154,7 +149,7 @@
 	}
 
 	private Socket send(String fields, String id) throws IOException {
-		Socket socket = new Socket("127.0.0.1", this.port);
+		Socket socket = new Socket("127.0.0.1", this.frontend.address().port());
 		socket.setSoTimeout(5000);
 		socket.getOutputStream()
 			.write(("POST /a/x?q=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nAuthorization: Bearer key-1\r\n"
