Free the addresses of an event loop before its close returns

Cause: the sockets of a loop are closed by its thread as it ends, and close returned before that. Ruled out: a connection that got the port, as 18082 is outside the range of such ports. EventLoopTests, which restarts a server on one address, shows it at once.

close waits until the thread has ended, at most 2 s. A gateway closes its loop only by ending. HttpServerTests lets the system choose its port, as ExchangeTests does.

Before: EventLoopTests.theAddressOfAServerIsFreeOnceItsLoopIsClosed fails ("cannot listen on 127.0.0.2:37725").

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EventLoop.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EventLoop.java
@@ -32,6 +32,9 @@
 	/** Longest wait of one select call; a due timer or a new task ends it earlier. */
 	private static final long MAX_SELECT_MILLIS = 30_000;
 
+	/** Longest wait for the loop's thread to end. */
+	private static final long MAX_CLOSE_MILLIS = 2000;
+
 	private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
 
 	private final PriorityQueue<Timer> timers = new PriorityQueue<>();
@@ -160,14 +163,32 @@
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
 	}
 
+	/**
+	 * Stops the loop and closes its sockets. Their addresses are free once this returns,
+	 * unless it is called on the loop's thread.
+	 */
 	@Override
 	public void close() {
+		Thread running = this.thread;
 		try {
 			this.transport.shutdownNow();
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
+		if (running != null && !inLoop()) {
+			awaitEnd(running);
+		}
+	}
+
+	// The loop's thread closes the sockets as it ends.
+	private static void awaitEnd(Thread thread) {
+		try {
+			thread.join(MAX_CLOSE_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	TCPNIOTransport transport() {
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpServerTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpServerTests.java
@@ -1,7 +1,6 @@
 package org.monsoonvalve.core.connection;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -34,17 +33,15 @@
 	public void start() throws IOException {
 		this.calls.clear();
 		this.handler = (call) -> call.reply(200, Headers.empty(), call.target().getBytes(StandardCharsets.UTF_8));
-		try (ServerSocket free = new ServerSocket(0)) {
-			this.port = free.getLocalPort();
-		}
 		this.loop = EventLoop.start((failure) -> {
 			throw new IllegalStateException(failure);
 		});
-		this.server = HttpServer.start(this.loop, new Address("127.0.0.1", this.port),
-				new HttpLimits(16384, 1000, 100_000), (call) -> {
+		this.server = HttpServer.start(this.loop, new Address("127.0.0.1", 0), new HttpLimits(16384, 1000, 100_000),
+				(call) -> {
 					this.calls.add(call);
 					this.handler.accept(call);
 				});
+		this.port = this.server.address().port();
 	}
 
 	@AfterMethod
