Complete a response that can have no content at the end of its head

Cause: fails a response without a length unless its connection ends, and a 204, a 304 or the answer to HEAD has no length either but ends with its head.

Whether a response is close-delimited now depends on its status and the request's method as well.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
@@ -33,6 +33,10 @@
 	private static final Attribute<HttpConnection> ATTRIBUTE = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
 		.createAttribute(HttpConnection.class.getName());
 
+	private static final int NO_CONTENT = 204;
+
+	private static final int NOT_MODIFIED = 304;
+
 	private final Address address;
 
 	private final Connection<?> connection;
@@ -115,7 +119,7 @@
 	}
 
 	private Exchange start(HttpRequest request, long progressTimeoutMillis, ResponseListener listener) {
-		Exchange exchange = new Exchange(listener, progressTimeoutMillis);
+		Exchange exchange = new Exchange("HEAD".equals(request.method()), listener, progressTimeoutMillis);
 		if (!this.connection.isOpen() || !this.inFlight.compareAndSet(null, exchange)) {
 			throw new ServingException(FailureCode.UNREACHABLE,
 					"the connection to " + this.address + " is closed or busy");
@@ -242,6 +246,8 @@
 
 	private final class Exchange {
 
+		private final boolean head;
+
 		private final ResponseListener listener;
 
 		private final long progressTimeoutMillis;
@@ -258,7 +264,8 @@
 
 		private volatile boolean closeDelimited;
 
-		private Exchange(ResponseListener listener, long progressTimeoutMillis) {
+		private Exchange(boolean head, ResponseListener listener, long progressTimeoutMillis) {
+			this.head = head;
 			this.listener = listener;
 			this.progressTimeoutMillis = progressTimeoutMillis;
 		}
@@ -301,7 +308,8 @@
 				this.headersReceived = true;
 				HttpResponsePacket response = (HttpResponsePacket) content.getHttpHeader();
 				Headers headers = ServerConnection.headersOf(response);
-				this.closeDelimited = !response.isChunked() && response.getContentLength() < 0;
+				this.closeDelimited = !response.isChunked() && response.getContentLength() < 0
+						&& mayHaveContent(response.getStatus());
 				HttpConnection.this.keepAliveMillis = headers.keepAliveMillis();
 				if (this.closeDelimited || headers.closesConnection()) {
 					HttpConnection.this.reusable = false;
@@ -322,6 +330,10 @@
 			}
 		}
 
+		private boolean mayHaveContent(int status) {
+			return !this.head && status != NO_CONTENT && status != NOT_MODIFIED;
+		}
+
 		// Any other end, also one that a failed write or this side brought about, leaves
 		// a close-delimited response incomplete. A failed write consumes the error of a
 		// reset, after which reading returns an end.
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpConnectionTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpConnectionTests.java
@@ -201,6 +201,24 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] answersWithoutContent() {
+		return new Object[][] { { "GET", "HTTP/1.1 204 No Content\r\n\r\n" },
+				{ "GET", "HTTP/1.1 304 Not Modified\r\n\r\n" }, { "HEAD", "HTTP/1.1 200 OK\r\n\r\n" } };
+	}
+
+	// Such a response has no length either, and ends with its head.
+	@Test(dataProvider = "answersWithoutContent")
+	public void aResponseThatCanHaveNoContentIsCompleteWithoutAnEndOfTheConnection(String method, String response)
+			throws IOException {
+		try (ServerSocket server = startServer(response, false)) {
+			HttpConnection connection = connect(server);
+			HttpRequest request = new HttpRequest(method, "/", Headers.empty(), new byte[0]);
+			Assert.assertEquals(connection.exchange(request, 2000, MAX_BODY_BYTES).join().body().length, 0);
+			Assert.assertTrue(connection.reusable());
+		}
+	}
+
 	@Test
 	public void aResponseLargerThanTheLimitIsAnswerTooLarge() throws IOException {
 		String large = "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + "x".repeat(2000);
