--- a/review/lib-2/ModelServer.java
+++ b/review/lib-2/ModelServer.java
@@ -73,12 +73,14 @@
 
 	private String model = "";
 
-	private Map<String, Object> group = Map.of();
+	private volatile Map<String, Object> group = Map.of();
 
 	private long sequence;
 
 	private String state = "ready";
 
+	private boolean cut;
+
 	private volatile int events = 10;
 
 	private volatile long eventMillis = 50;
@@ -115,12 +117,26 @@
 		return this.log;
 	}
 
-	public synchronized boolean serving() {
+	public boolean serving() {
 		return "open".equals(this.group.get("state"));
 	}
 
+	/** Loses or regains the path to the store, which removes its record meanwhile. */
+	public synchronized void cutFromStore(boolean cut) {
+		this.cut = cut;
+		if (cut) {
+			this.store.remove(Wire.name("key.servers") + this.id);
+		}
+		else {
+			beat();
+		}
+	}
+
 	/** Writes the record in the store, as after each change. */
 	protected final synchronized void beat() {
+		if (this.cut) {
+			return;
+		}
 		try {
 			Map<String, Object> record = new HashMap<>();
 			JSON.readTree(Wire.shared("server.json", "service", this.service, "address",
@@ -197,7 +213,10 @@
 			plain(channel, head, "200 OK", "Content-Type: application/json\r\n", report());
 		}
 		else if (path.equals(Wire.name("path.order"))) {
-			plain(channel, head, order(JSON.readTree(body)), "Content-Type: application/json\r\n", "{}");
+			JsonNode order = JSON.readTree(body);
+			String outcome = order(order);
+			this.log.add("server " + this.id + " answers " + outcome + " to the order " + order);
+			plain(channel, head, outcome, "Content-Type: application/json\r\n", "{}");
 		}
 		else {
 			request(head, channel);
@@ -237,6 +256,7 @@
 				if (own) {
 					return "200 OK";
 				}
+				joining(order);
 				this.model = order.path("model").asText();
 				int rank = 0;
 				while (!order.path("members").path(rank).asText().equals(this.id)) {
@@ -370,6 +390,16 @@
 		afterAnswer(channel, status, answer);
 	}
 
+	/** Returns the membership that it has now, empty without one. */
+	public Map<String, Object> group() {
+		return this.group;
+	}
+
+	/** Called before a join replaces the membership. */
+	protected void joining(JsonNode order) {
+		// Only some cases look at joins.
+	}
+
 	/** Called when a request begins to run. */
 	protected void ran(String request) {
 		this.log.add("server " + this.id + " runs " + request);
--- a/review/lib-2/StoreServer.java
+++ b/review/lib-2/StoreServer.java
@@ -48,6 +48,12 @@
 
 	private long lastLease;
 
+	private int lostAnswers;
+
+	private long lateMillis;
+
+	private Log log;
+
 	private StoreServer(HttpServer server) {
 		this.server = server;
 	}
@@ -75,6 +81,22 @@
 		notifyAll();
 	}
 
+	/** Gives no answer to the next writes without a lease, and does them late. */
+	public synchronized void loseAnswers(int count, long millis, Log record) {
+		this.lostAnswers = count;
+		this.lateMillis = millis;
+		this.log = record;
+	}
+
+	private synchronized boolean losesAnswer(String path, JsonNode body) {
+		if (this.lostAnswers > 0 && path.equals(Wire.name("path.transaction"))
+				&& body.path("writes").path(0).path("lease").asLong() == 0) {
+			this.lostAnswers--;
+			return true;
+		}
+		return false;
+	}
+
 	/** Returns the keys that begin with a prefix. */
 	public synchronized List<String> keys(String prefix) {
 		return this.items.keySet().stream().filter((key) -> key.startsWith(prefix)).toList();
@@ -144,8 +166,17 @@
 						URLDecoder.decode(part.substring(equals + 1), StandardCharsets.UTF_8));
 			}
 			byte[] body = call.getRequestBody().readAllBytes();
+			JsonNode request = (body.length > 0) ? JSON.readTree(body) : JSON.createObjectNode();
+			if (losesAnswer(call.getRequestURI().getPath(), request)) {
+				this.log.print("the store leaves a write of " + request.path("writes").path(0).path("key").asText()
+						+ " unanswered");
+				Thread.sleep(this.lateMillis);
+				Answer late = answer(call.getRequestURI().getPath(), query, request);
+				this.log.print("the store does that write now: " + late.status());
+				return;
+			}
 			Answer answer = answer(call.getRequestURI().getPath(), query,
-					(body.length > 0) ? JSON.readTree(body) : JSON.createObjectNode());
+					request);
 			byte[] bytes = JSON.writeValueAsBytes(answer.body());
 			call.getResponseHeaders().add("Content-Type", "application/json");
 			call.sendResponseHeaders(answer.status(), bytes.length);
