--- a/review/9/LateWriteCase.java
+++ b/review/6/LateWriteCase.java
@@ -23,10 +23,10 @@
 	private static final int SERVERS = 5;
 
 	/** Time without a record; the cut itself lasts three heartbeats more. */
-	private static final long RECORD_MISSING_MILLIS = Long.getLong("missing", 1300);
+	private static final long RECORD_MISSING_MILLIS = 1300;
 
 	/** A write without an answer is done 1 to 6 s later. */
-	private static final long LATE_MILLIS = Long.getLong("late", 4500);
+	private static final long LATE_MILLIS = 4500;
 
 	private static final long SETTLE_MILLIS = 10_000;
 
@@ -43,7 +43,7 @@
 	public static void main(String[] arguments) throws Exception {
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 		int status = 2;
-		try (Log log = Log.to(Path.of("review", "9", "record.txt"))) {
+		try (Log log = Log.to(Path.of("review", "6", "record.txt"))) {
 			status = new LateWriteCase(log).run(trouble);
 		}
 		catch (IOException ex) {
@@ -53,11 +53,11 @@
 	}
 
 	private int run(boolean trouble) throws Exception {
-		Path folder = Files.createTempDirectory("review-9");
+		Path folder = Files.createTempDirectory("review-6");
 		List<GatewayProgram> gateways = new ArrayList<>();
 		StoreServer store = StoreServer.start("127.0.0.1");
 		try {
-			store.put(Wire.name("key.configuration"), Wire.template(Path.of("review", "9", "configuration.json")));
+			store.put(Wire.name("key.configuration"), Wire.template(Path.of("review", "6", "configuration.json")));
 			for (int i = 1; i <= SERVERS; i++) {
 				Server server = new Server("i-grass-" + i, store);
 				server.start();
@@ -101,9 +101,6 @@
 			gateways.forEach(GatewayProgram::close);
 			this.servers.forEach(ModelServer::close);
 			store.close();
-			if (Boolean.getBoolean("keep")) {
-				System.out.println(folder);
-			}
 		}
 	}
 
--- a/review/7/SecondAnswerCase.java
+++ b/review/9/SecondAnswerCase.java
@@ -70,7 +70,7 @@
 	public static void main(String[] arguments) throws Exception {
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 		int status = 2;
-		try (Log log = Log.to(Path.of("review", "7", "record.txt"))) {
+		try (Log log = Log.to(Path.of("review", "9", "record.txt"))) {
 			status = new SecondAnswerCase(log).run(trouble);
 		}
 		catch (IOException ex) {
@@ -80,7 +80,7 @@
 	}
 
 	private int run(boolean trouble) throws Exception {
-		Path folder = Files.createTempDirectory("review-7");
+		Path folder = Files.createTempDirectory("review-9");
 		List<ModelServer> servers = new ArrayList<>();
 		ExecutorService threads = Executors.newCachedThreadPool();
 		StoreServer store = StoreServer.start("127.0.0.1");
