--- a/review/6/LateWriteCase.java
+++ b/review/6/LateWriteCase.java
@@ -46,7 +46,7 @@
 		try (Log log = Log.to(Path.of("review", "6", "record.txt"))) {
 			status = new LateWriteCase(log).run(trouble);
 		}
-		catch (IOException ex) {
+		catch (Exception ex) {
 			System.out.println("can't run: " + ex);
 		}
 		System.exit(status);
--- a/review/8/ManyVersionsCase.java
+++ b/review/8/ManyVersionsCase.java
@@ -68,7 +68,7 @@
 		try (Log log = Log.to(Path.of("review", "8", "record.txt"))) {
 			status = new ManyVersionsCase(log).run(trouble);
 		}
-		catch (IOException ex) {
+		catch (Exception ex) {
 			System.out.println("can't run: " + ex);
 		}
 		System.exit(status);
--- a/review/9/SecondAnswerCase.java
+++ b/review/9/SecondAnswerCase.java
@@ -73,7 +73,7 @@
 		try (Log log = Log.to(Path.of("review", "9", "record.txt"))) {
 			status = new SecondAnswerCase(log).run(trouble);
 		}
-		catch (IOException ex) {
+		catch (Exception ex) {
 			System.out.println("can't run: " + ex);
 		}
 		System.exit(status);
--- a/review/lib-2/GatewayProgram.java
+++ b/review/lib-2/GatewayProgram.java
@@ -75,7 +75,9 @@
 		builder.environment().put(Wire.name("settings.variable"), settings.toString());
 		Path output = folder.resolve(name + ".log");
 		builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()));
-		return new GatewayProgram(host, output, builder.start());
+		Process process = builder.start();
+		Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+		return new GatewayProgram(host, output, process);
 	}
 
 	public String host() {
