Keep only the last change of each key for peers

Cause: the replica kept the last 2,000 changes with their whole values, and 400 of them exhausted the heap of 192 MB. Each later answer of the store then failed with an OutOfMemoryError. The resident memory (257 MB, against 137 MB without the history) shows it.

Change: the history holds one change for each key, whose value is the one in effect. Removed and compressed values are bounded in bytes. The metrics store_history_bytes and heap_bytes tell what is kept.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactCompressor.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactCompressor.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
@@ -30,17 +31,15 @@
 
 	private static final int BUFFER_BYTES = 16 * 1024;
 
-	/** Compressed values that are kept; more than there are configurations and zones. */
-	private static final int MAX_KEPT = 64;
-
-	private final Map<String, CompressedValue> latestByKey = new LinkedHashMap<>() {
+	/**
+	 * Most bytes of compressed values that are kept; a configuration of the store's limit
+	 * and the groups of each zone fit.
+	 */
+	private static final long MAX_KEPT_BYTES = 4 * 1024 * 1024;
 
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, CompressedValue> eldest) {
-			return size() > MAX_KEPT;
-		}
+	private final Map<String, CompressedValue> latestByKey = new LinkedHashMap<>();
 
-	};
+	private long keptBytes;
 
 	/**
 	 * Encodes a key for a peer.
@@ -51,17 +50,38 @@
 	 */
 	PeerFrame.Fact encode(String key, StorePosition position, byte[] value) {
 		if (value == null || value.length < MIN_BYTES) {
-			this.latestByKey.remove(key);
+			forget(key);
 			return new PeerFrame.Fact(key, position.revision(), value, false, position.era());
 		}
 		CompressedValue latest = this.latestByKey.get(key);
 		if (latest == null || !latest.position().equals(position)) {
 			latest = new CompressedValue(position, deflate(value));
-			this.latestByKey.put(key, latest);
+			keep(key, latest);
 		}
 		return new PeerFrame.Fact(key, position.revision(), latest.bytes(), true, position.era());
 	}
 
+	private void keep(String key, CompressedValue value) {
+		forget(key);
+		this.latestByKey.put(key, value);
+		this.keptBytes += value.bytes().length;
+		while (this.keptBytes > MAX_KEPT_BYTES) {
+			forget(this.latestByKey.keySet().iterator().next());
+		}
+	}
+
+	private void forget(String key) {
+		Optional.ofNullable(this.latestByKey.remove(key)).ifPresent((value) -> this.keptBytes -= value.bytes().length);
+	}
+
+	/**
+	 * Returns the size of the compressed values that are kept.
+	 * @return the number of bytes
+	 */
+	long keptBytes() {
+		return this.keptBytes;
+	}
+
 	/**
 	 * Decodes the value of a key from a peer.
 	 * @param fact the encoded key
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -194,6 +194,9 @@
 		this.registry.register("store_era", (Gauge<Long>) this.store::newestEra);
 		this.registry.register("store_answers_discarded", (Gauge<Long>) this.store::discardedAnswers);
 		this.registry.register("records_retained", (Gauge<Integer>) this.storeSync::retainedRecords);
+		this.registry.register("store_history_bytes", (Gauge<Long>) this.storeSync::historyBytes);
+		this.registry.register("heap_bytes",
+				(Gauge<Long>) () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
 		this.registry.register("configurations_kept", (Gauge<Long>) this.storeSync::keptConfigurations);
 		this.registry.register("view_revision", (Gauge<Long>) () -> this.view.get().position().revision());
 		this.registry.register("requests_in_progress", (Gauge<Integer>) this.dispatcher::inProgress);
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
@@ -1,10 +1,7 @@
 package org.monsoonvalve.gateway.process;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -28,12 +25,15 @@
  */
 final class StoreReplica {
 
-	/** Changes kept for peers; about a minute of changes on the busiest day. */
-	private static final int MAX_HISTORY_CHANGES = 2000;
+	/** Keys whose last change is kept for peers; more than change in a minute. */
+	private static final int MAX_CHANGED_KEYS = 2000;
 
 	/** Removed records that are remembered. */
 	private static final int MAX_REMOVED = 2000;
 
+	/** Most bytes of the values of removed records that are remembered. */
+	private static final long MAX_REMOVED_BYTES = 4 * 1024 * 1024;
+
 	/**
 	 * Time for which removed records are remembered; copies of the store are some seconds
 	 * old.
@@ -46,18 +46,17 @@
 
 	private final Map<String, RetainedRecord> retained = new HashMap<>();
 
-	private final Map<String, RemovedRecord> removed = new LinkedHashMap<>() {
+	private final Map<String, RemovedRecord> removed = new LinkedHashMap<>();
 
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, RemovedRecord> eldest) {
-			return size() > MAX_REMOVED;
-		}
+	// The last change of each key, in the order of positions. A value is the one in
+	// effect, so the history of a key that changes often takes no more memory.
+	private final Map<String, WatchableStore.Change> history = new LinkedHashMap<>();
 
-	};
+	private final Set<String> changedKeys = new HashSet<>();
 
-	private final Deque<WatchableStore.Change> history = new ArrayDeque<>();
+	private long changedBytes;
 
-	private final Set<String> changedKeys = new HashSet<>();
+	private long removedBytes;
 
 	private StorePosition historyStart = StorePosition.NONE;
 
@@ -167,6 +166,7 @@
 		this.stored.putAll(found);
 		this.position = snapshot.position();
 		this.history.clear();
+		this.changedBytes = 0;
 		this.historyStart = this.position;
 		Set<String> keys = new HashSet<>(before.keySet());
 		keys.addAll(found.keySet());
@@ -195,7 +195,12 @@
 				retain(key, Optional.of(held), this.retention.retainMillis(held, restored), nowMillis);
 			}
 		});
-		this.removed.values().removeIf((record) -> nowMillis - record.removedMillis() > REMOVED_MILLIS);
+		this.removed.values()
+			.stream()
+			.filter((record) -> nowMillis - record.removedMillis() > REMOVED_MILLIS)
+			.map((record) -> record.last().key())
+			.toList()
+			.forEach(this::forgetRemoved);
 		this.removed.forEach((key, record) -> {
 			if (!before.containsKey(key) && found.containsKey(key)) {
 				retain(key, Optional.empty(), this.retention.withholdMillis(record.last(), found.get(key)), nowMillis);
@@ -268,8 +273,17 @@
 	}
 
 	private void rememberRemoved(PlatformStore.Entry last, long nowMillis) {
-		this.removed.remove(last.key());
+		forgetRemoved(last.key());
 		this.removed.put(last.key(), new RemovedRecord(last, nowMillis));
+		this.removedBytes += last.value().length;
+		while (this.removed.size() > MAX_REMOVED || this.removedBytes > MAX_REMOVED_BYTES) {
+			forgetRemoved(this.removed.keySet().iterator().next());
+		}
+	}
+
+	private void forgetRemoved(String key) {
+		Optional.ofNullable(this.removed.remove(key))
+			.ifPresent((record) -> this.removedBytes -= record.last().value().length);
 	}
 
 	/**
@@ -307,25 +321,44 @@
 	}
 
 	private void appendToHistory(WatchableStore.Change change) {
-		this.history.add(change);
-		if (this.history.size() > MAX_HISTORY_CHANGES) {
-			this.historyStart = this.history.remove().position();
+		forgetChange(change.key());
+		this.history.put(change.key(), change);
+		this.changedBytes += sizeOf(change);
+		if (this.history.size() > MAX_CHANGED_KEYS) {
+			WatchableStore.Change eldest = this.history.values().iterator().next();
+			this.historyStart = eldest.position();
+			forgetChange(eldest.key());
 		}
 	}
 
+	private void forgetChange(String key) {
+		Optional.ofNullable(this.history.remove(key)).ifPresent((change) -> this.changedBytes -= sizeOf(change));
+	}
+
+	private static long sizeOf(WatchableStore.Change change) {
+		return (change.value() != null) ? change.value().length : 0;
+	}
+
+	/**
+	 * Returns the size of the values in the history and of those that were removed.
+	 * @return the number of bytes
+	 */
+	long historyBytes() {
+		return this.changedBytes + this.removedBytes;
+	}
+
 	/**
 	 * Finds the changes that a peer lacks.
 	 * @param after the peer's position
-	 * @return the changes, empty if the history no longer includes all of them, or if the
-	 * peer is in another era
+	 * @return the last change of each key that changed after it, empty if the history no
+	 * longer includes all of them, or if the peer is in another era
 	 */
 	Optional<WatchableStore.Changes> changesAfter(StorePosition after) {
 		if (after.era() != this.position.era() || this.historyStart.isAfter(after)) {
 			return Optional.empty();
 		}
-		List<WatchableStore.Change> missing = new ArrayList<>();
-		this.history.stream().filter((change) -> change.position().isAfter(after)).forEach(missing::add);
-		return Optional.of(new WatchableStore.Changes(this.position, missing));
+		return Optional.of(new WatchableStore.Changes(this.position,
+				this.history.values().stream().filter((change) -> change.position().isAfter(after)).toList()));
 	}
 
 	/**
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
@@ -180,6 +180,15 @@
 		return this.replica.retainedCount();
 	}
 
+	/**
+	 * Returns the size of the values that are kept for peers and after their removal.
+	 * @return the number of bytes; may be out of date on other threads than the control
+	 * thread
+	 */
+	long historyBytes() {
+		return this.replica.historyBytes() + this.compressor.keptBytes();
+	}
+
 	/**
 	 * Returns how often a configuration stayed in force against an older one.
 	 * @return the number; may be out of date on other threads than the control thread
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreReplicaTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreReplicaTests.java
@@ -185,4 +185,61 @@
 		Assert.assertEquals(value("config"), Optional.of("c17"), "a newer one is stored");
 	}
 
+	// Guards against a history of whole values: 400 versions of a large configuration
+	// exhausted the heap of every process.
+	@Test
+	public void manyVersionsOfALargeValueFitASmallHeap() throws Exception {
+		Assert.assertEquals(SmallHeap.run(ManyVersions.class, 32), "1000000");
+	}
+
+	@Test
+	public void removedValuesTakeABoundedPartOfTheHeap() {
+		reset(at(1, 1));
+		String value = "x".repeat(1_000_000);
+		for (int i = 1; i <= 20; i++) {
+			apply(at(1, 2 * i + 1), change("key-" + i, at(1, 2 * i), value), removal("key-" + i, at(1, 2 * i + 1)));
+		}
+		Assert.assertTrue(this.replica.historyBytes() < 5_000_000, this.replica.historyBytes() + " bytes");
+	}
+
+	// Only the last change of a key matters to a peer, which gets it once.
+	@Test
+	public void aPeerGetsTheLastChangeOfEachKeyInOrder() {
+		reset(at(1, 10));
+		apply(at(1, 13), change("a", at(1, 11), "a1"), change("b", at(1, 12), "b"), change("a", at(1, 13), "a2"));
+		List<WatchableStore.Change> changes = this.replica.changesAfter(at(1, 10)).orElseThrow().changes();
+		Assert.assertEquals(changes.stream().map(WatchableStore.Change::key).toList(), List.of("b", "a"));
+		Assert.assertEquals(new String(changes.get(1).value(), StandardCharsets.UTF_8), "a2");
+	}
+
+	@Test
+	public void aPeerThatLacksMoreKeysThanAreKeptGetsEverything() {
+		reset(at(1, 10));
+		for (int i = 1; i <= 2001; i++) {
+			apply(at(1, 10 + i), change("key-" + i, at(1, 10 + i), "v"));
+		}
+		Assert.assertTrue(this.replica.changesAfter(at(1, 10)).isEmpty());
+		Assert.assertEquals(this.replica.changesAfter(at(1, 11)).orElseThrow().changes().size(), 2000);
+	}
+
+	/**
+	 * Applies 200 versions of a value of a megabyte and prints the size of the history.
+	 */
+	public static final class ManyVersions {
+
+		private ManyVersions() {
+		}
+
+		public static void main(String[] arguments) {
+			StoreReplicaTests tests = new StoreReplicaTests();
+			tests.createReplica();
+			tests.reset(at(1, 1));
+			for (int i = 2; i <= 200; i++) {
+				tests.apply(at(1, i), new WatchableStore.Change("config", at(1, i), new byte[1_000_000]));
+			}
+			System.out.print(tests.replica.historyBytes());
+		}
+
+	}
+
 }
