Write planned groups again after a write without an answer

Cause: the planner took a write of the groups that got no answer for a failed one and opened the group again that the write removes. The store did the write 4.5 s later, as its condition still held: the record of the case shows the late write answered with 200 and the join after it.

Change: no order is sent while an earlier write may still take effect; the groups are written again first, which moves the key to another revision. A new holder of the planner role does the same, as its predecessor may have left such a write. Besides, a VM isn't ordered to join while the head of the group that it reports is active, as the plan may not know that group.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/process/LogEvent.java
@@ -223,7 +223,10 @@
 	DEMAND_KNOWN(6310, Level.INFO, "the demand of a zone is known"),
 
 	/** The configured shares apply, as too few processes report their demand. */
-	DEMAND_UNKNOWN(6311, Level.WARN, "the demand of a zone is not known");
+	DEMAND_UNKNOWN(6311, Level.WARN, "the demand of a zone is not known"),
+
+	/** A write of a zone's groups got no answer and may still take effect. */
+	GROUPS_UNCERTAIN(6312, Level.WARN, "a write of planned groups got no answer");
 
 	private final int number;
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/ZonePlanner.java
@@ -32,8 +32,9 @@
 /**
  * Plans the replica groups of one availability zone while this process holds the planner
  * role. Changed groups are stored first, by a write that fails if another process changed
- * them; the orders that follow from them are sent only after that write. Confined to the
- * control thread.
+ * them; the orders that follow from them are sent only after that write. While an earlier
+ * write may still take effect, the groups are written again before any order. Confined to
+ * the control thread.
  *
  * @author monsoonvalve maintainers
  */
@@ -46,6 +47,9 @@
 	 */
 	private static final long HEAD_TIMEOUT_MARGIN_MILLIS = 500;
 
+	/** Delay after a failed write of the groups. */
+	private static final long WRITE_RETRY_MILLIS = 400;
+
 	/** One second including both of its ends, as a rate applies to any second. */
 	private static final long LOAD_WINDOW_MILLIS = 1001;
 
@@ -77,8 +81,12 @@
 
 	private boolean roleHeld;
 
+	private final WriteFence writeFence = new WriteFence();
+
 	private boolean writePending;
 
+	private long nextWriteMillis = Long.MIN_VALUE;
+
 	// Newer than the groups in the view until the replica includes the last write.
 	private FleetView.PlannedGroups lastStored;
 
@@ -145,6 +153,7 @@
 		if (holdsRole != this.roleHeld) {
 			this.roleHeld = holdsRole;
 			this.lastStored = null;
+			this.writeFence.reset();
 			this.executor.clear();
 			this.prober.clear();
 			this.suspectedHeads.clear();
@@ -182,11 +191,12 @@
 		ReplicaPlanner.Plan plan = ReplicaPlanner.plan(new ReplicaPlanner.ZoneSnapshot(this.zone, engine, answering,
 				groups, headLiveness(groups), this.executor::busy, staging, loadAllowance, vmsInOtherZones())
 			.withDivision(this.demand.division(service, engine, answering, this.view.members().values())));
-		if (current.stored() && plan.groups().equals(current.groups())) {
+		boolean changed = !plan.groups().equals(current.groups());
+		if (current.stored() && !changed && this.writeFence.holds(current.position())) {
 			submitOrders(plan, engine);
 		}
-		else {
-			storeGroups(plan, current);
+		else if (EventLoop.nowMillis() >= this.nextWriteMillis) {
+			storeGroups(changed ? plan : plan.rewritten(), current);
 		}
 	}
 
@@ -223,11 +233,14 @@
 			.whenCompleteAsync((result, failure) -> {
 				this.writePending = false;
 				if (failure != null) {
-					this.log.record(LogEvent.TASK_FAILED, "task", "store groups of " + this.zone, "reason",
-							ServingException.from(failure).getMessage());
+					this.writeFence.unanswered(current.position());
+					this.nextWriteMillis = EventLoop.nowMillis() + WRITE_RETRY_MILLIS;
+					this.log.record(LogEvent.GROUPS_UNCERTAIN, "zone", this.zone, "position", current.position(),
+							"reason", ServingException.from(failure).getMessage());
 					return;
 				}
 				if (result.succeeded()) {
+					this.writeFence.acknowledged();
 					logChanges(plan, current.groups());
 					if (!current.stored()) {
 						this.log.record(LogEvent.RECORD_REWRITTEN, "record", "groups of " + this.zone, "position",
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ReplicaPlanner.java
@@ -76,7 +76,8 @@
 		List<EndpointRecord> notJoined = members.stream()
 			.filter((member) -> !member.memberOf(group.name(), group.epoch()))
 			.toList();
-		notJoined.forEach((member) -> addOrder(member, GroupOrder.of(GroupOrder.Action.JOIN, group)));
+		notJoined.forEach((member) -> activeHeadOf(member).ifPresentOrElse(this::closeReported,
+				() -> addOrder(member, GroupOrder.of(GroupOrder.Action.JOIN, group))));
 		boolean allReady = notJoined.isEmpty() && members.stream()
 			.allMatch((member) -> stateIn(group, member).filter((state) -> state != GroupState.JOINING).isPresent());
 		if (allReady && stateIn(group, head).filter((state) -> state == GroupState.READY).isPresent()) {
@@ -84,6 +85,24 @@
 		}
 	}
 
+	// Finds the head that serves the group that a VM reports, whether planned or not.
+	private Optional<EndpointRecord> activeHeadOf(EndpointRecord member) {
+		return member.membership()
+			.flatMap((reported) -> this.snapshot.endpoints()
+				.stream()
+				.filter((record) -> record.memberOf(reported.group(), reported.epoch()))
+				.filter((record) -> record.membership().filter((own) -> own.rank() == 0).isPresent())
+				.filter((record) -> record.membership().get().state().active())
+				.findFirst());
+	}
+
+	private void closeReported(EndpointRecord head) {
+		head.membership()
+			.filter(GroupMembership::serving)
+			.ifPresent((serving) -> addOrder(head,
+					new GroupOrder(GroupOrder.Action.CLOSE, serving.group(), serving.epoch(), "", List.of())));
+	}
+
 	private void dissolve(ReplicaGroup group, Optional<EndpointRecord> headRecord) {
 		if (headRecord.isEmpty()) {
 			HeadLiveness liveness = this.snapshot.liveness(group);
@@ -289,6 +308,15 @@
 			removed = List.copyOf(removed);
 		}
 
+		/**
+		 * Returns a copy whose groups are the same but count as changed, for a write that
+		 * replaces earlier ones.
+		 * @return the copy
+		 */
+		public Plan rewritten() {
+			return new Plan(this.groups.rewritten(), this.orders, this.removed);
+		}
+
 	}
 
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ZoneGroups.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/ZoneGroups.java
@@ -66,6 +66,14 @@
 				this.groups.stream().filter((group) -> !group.name().equals(name)).toList(), this.version + 1);
 	}
 
+	/**
+	 * Returns a copy with the same groups that counts as a change.
+	 * @return the copy
+	 */
+	public ZoneGroups rewritten() {
+		return new ZoneGroups(this.lastEpoch, this.groups, this.version + 1);
+	}
+
 	/**
 	 * Returns a copy in which another model preempts a group.
 	 * @param name the group's name
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/version/ReplicaPlannerTests.java
@@ -96,6 +96,32 @@
 		Assert.assertEquals(groups.groups().stream().filter((group) -> group.model().equals("small")).count(), 6);
 	}
 
+	// Guards against a member that joins another group while the head of its own one
+	// serves, whatever the plan says of that one.
+	@Test
+	public void closesTheHeadThatServesAMembersGroupBeforeTheMemberJoins() {
+		ReplicaGroup former = ReplicaGroup.of("kano-a-1", 1, "small", List.of(member("a"), member("b")));
+		ZoneGroups groups = new ZoneGroups(1, List.of(), 1).with("kano-a", "small", List.of(member("b"), member("c")));
+		EndpointRecord free = vm("c", "d1", "small", null);
+		for (GroupState state : new GroupState[] { GroupState.OPEN, GroupState.CLOSING, GroupState.READY }) {
+			ReplicaPlanner.Plan plan = plan(
+					List.of(vm("a", "d1", "small", membership(former, 0, state)),
+							vm("b", "d1", "small", membership(former, 1, GroupState.READY)), free),
+					groups, Map.of(), 0);
+			List<String> orders = plan.orders()
+				.stream()
+				.filter((order) -> order.order().action() != GroupOrder.Action.STAGE)
+				.map((order) -> order.endpoint().id() + " " + order.order().action() + " " + order.order().group())
+				.sorted()
+				.toList();
+			Assert.assertEquals(orders, switch (state) {
+				case OPEN -> List.of("a CLOSE kano-a-1", "c JOIN kano-a-2");
+				case CLOSING -> List.of("c JOIN kano-a-2");
+				default -> List.of("b JOIN kano-a-2", "c JOIN kano-a-2");
+			}, state.toString());
+		}
+	}
+
 	@Test
 	public void opensGroupOnlyWhenAllMembersAreReadyInItsEpoch() {
 		ZoneGroups groups = ZoneGroups.empty().with("kano-a", "small", List.of(member("a"), member("b")));
