Don't send a request twice over one connection

Cause: an endpoint that declines a request may get it again some milliseconds later, on the connection that was used last. A second copy of the rejection that the endpoint sends late bears the identifier that all attempts of the request have, and was taken for the answer of the next attempt, while the endpoint ran it.

Change: an attempt doesn't use a connection that an earlier attempt of the same request has used; other requests do, as they have other identifiers. A response that names two identifiers belongs to no request.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/connection/Endpoint.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 
 import org.monsoonvalve.admission.connection.RunningRequests;
 import org.monsoonvalve.core.connection.EventLoop;
@@ -155,16 +157,22 @@
 
 	/**
 	 * Reuses an idle connection or opens a new one.
+	 * @param suitable tells whether an idle connection may be reused now; the others stay
+	 * idle
 	 * @return a connection without a request in progress
 	 */
-	public CompletableFuture<HttpConnection> connect() {
+	public CompletableFuture<HttpConnection> connect(Predicate<HttpConnection> suitable) {
 		long now = EventLoop.nowMillis();
-		for (IdleConnection next = this.idleConnections.pollFirst(); next != null; next = this.idleConnections
-			.pollFirst()) {
-			if (now < next.reusableUntilMillis() && next.connection().reusable()) {
+		for (Iterator<IdleConnection> idle = this.idleConnections.iterator(); idle.hasNext();) {
+			IdleConnection next = idle.next();
+			if (now >= next.reusableUntilMillis() || !next.connection().reusable()) {
+				idle.remove();
+				next.connection().close();
+			}
+			else if (suitable.test(next.connection())) {
+				idle.remove();
 				return CompletableFuture.completedFuture(next.connection());
 			}
-			next.connection().close();
 		}
 		return connectAnew();
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
@@ -119,7 +119,7 @@
 	}
 
 	void connect() {
-		this.endpoint.connect()
+		this.endpoint.connect(this.exchange::mayUse)
 			.whenComplete((opened, failure) -> this.dispatcher.loop().runInLoop(() -> connected(opened, failure)));
 	}
 
@@ -137,6 +137,7 @@
 			return;
 		}
 		this.connection = opened;
+		this.exchange.connectionUsed(opened);
 		try {
 			long remainingMillis = this.exchange.remainingMillis();
 			this.sentMillis = EventLoop.nowMillis();
@@ -230,7 +231,8 @@
 			return;
 		}
 		HeaderNames names = this.dispatcher.names();
-		if (!replyHeaders.get(names.requestId()).filter(this.exchange.requestId()::equals).isPresent()) {
+		if (replyHeaders.count(names.requestId()) != 1
+				|| !replyHeaders.get(names.requestId()).filter(this.exchange.requestId()::equals).isPresent()) {
 			responseFailed(new ServingException(FailureCode.ENDPOINT_LOST,
 					"the response doesn't carry the identifier of the request"));
 			return;
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -14,6 +14,7 @@
 import org.monsoonvalve.admission.request.Verdict;
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.Headers;
+import org.monsoonvalve.core.connection.HttpConnection;
 import org.monsoonvalve.core.connection.HttpRequest;
 import org.monsoonvalve.core.connection.IncomingCall;
 import org.monsoonvalve.core.process.LogEvent;
@@ -61,6 +62,8 @@
 
 	private final Set<Endpoint> decliningEndpoints = new HashSet<>();
 
+	private final Set<HttpConnection> usedConnections = new HashSet<>();
+
 	private Attempt currentAttempt;
 
 	private boolean waiting;
@@ -371,6 +374,21 @@
 		this.dispatcher.ended(this);
 	}
 
+	/**
+	 * Tells whether an attempt may use a connection. An endpoint may answer an attempt
+	 * twice, and a late second answer bears the identifier that all attempts of the
+	 * request have.
+	 * @param connection the connection
+	 * @return {@code false} if an earlier attempt has used it
+	 */
+	boolean mayUse(HttpConnection connection) {
+		return !this.usedConnections.contains(connection);
+	}
+
+	void connectionUsed(HttpConnection connection) {
+		this.usedConnections.add(connection);
+	}
+
 	HttpRequest requestFor(Endpoint endpoint) {
 		HeaderNames names = this.dispatcher.names();
 		Headers headers = ForwardedHeaders.ofRequest(this.call.headers(), names)
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeQueueTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeQueueTests.java
@@ -388,6 +388,30 @@
 		Assert.assertEquals(endpoint.requests.size(), 2);
 	}
 
+	// Guards against a late second copy of a rejection that is taken for the answer of
+	// the
+	// next attempt, which bears the same identifier and runs.
+	@Test
+	public void aSecondCopyOfARejectionIsNotTheAnswerOfTheNextAttempt() throws IOException {
+		ScriptedEndpoint endpoint = endpoint(0, NOT_RUN,
+				ScriptedEndpoint.EARLIER_RESPONSE + ScriptedEndpoint.PAUSE + OK);
+		serve(SENSITIVE, LONG_TARGET_MILLIS, endpoint.address());
+		String response = read(send("declined"));
+		Assert.assertTrue(response.endsWith("ok"), response);
+		Assert.assertEquals(endpoint.requests.size(), 2);
+	}
+
+	// Guards against a rejection that names two requests.
+	@Test
+	public void aRejectionWithTwoIdentifiersDoesNotShowThatTheRequestDidNotRun() throws IOException {
+		ScriptedEndpoint endpoint = endpoint(0,
+				NOT_RUN.replace("Not-Run", "Request-Id: other\r\nConnection: close\r\nNot-Run"));
+		serve(SENSITIVE, LONG_TARGET_MILLIS, endpoint.address());
+		String response = read(send("declined"));
+		Assert.assertTrue(response.startsWith("HTTP/1.1 502"), response);
+		Assert.assertEquals(endpoint.requests.size(), 1);
+	}
+
 	// Guards against endless attempts at an endpoint that declines everything.
 	@Test
 	public void aRequestThatIsAlwaysDeclinedIsRefusedAsNotRun() throws IOException {
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
@@ -25,6 +25,9 @@
 	/** A pause between two parts of a response. */
 	static final String PAUSE = "<pause>";
 
+	/** The last response on the same connection, nothing on a new one. */
+	static final String EARLIER_RESPONSE = "<earlier>";
+
 	private static final long PAUSE_MILLIS = 100;
 
 	private final ServerSocket server;
@@ -91,6 +94,7 @@
 	}
 
 	private void serve(Socket socket) {
+		String earlier = "";
 		try (socket) {
 			while (true) {
 				String request = readRequest(socket.getInputStream());
@@ -105,7 +109,8 @@
 					.map((line) -> line.substring(12))
 					.findFirst()
 					.orElse("");
-				String response = this.responses.get(number - 1).replace("$ID", id);
+				String response = this.responses.get(number - 1).replace(EARLIER_RESPONSE, earlier).replace("$ID", id);
+				earlier = response;
 				for (String part : response.split(PAUSE)) {
 					if (!response.startsWith(part)) {
 						Thread.sleep(PAUSE_MILLIS);
