Read responses strictly by the grammar of HTTP

Cause: the HTTP library accepts any digits as a status, skips lines without a colon, takes a Content-Length that is no number for none, and passes on names with blanks or control bytes. The connection took that for a sound head.

Change: a reader of our own, MessageReader, reads all responses: those of endpoints, of engines and of the store. What the grammar doesn't allow is a lost response. The size of each section is limited, and bytes after a complete response end the connection. A collected response that is too large closes its connection in every case.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
@@ -10,14 +10,13 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.http.HttpClientFilter;
-import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -96,14 +95,9 @@
 		});
 		timer.setRemoveOnCancelPolicy(true);
 		TrafficCounter traffic = TrafficCounter.create();
-		HttpClientFilter codec = new HttpClientFilter();
-		codec.setPreserveHeaderCase(true);
 		TCPNIOConnectorHandler connector = TCPNIOConnectorHandler.builder(transport)
-			.processor(FilterChainBuilder.stateless()
-				.add(new EndAwareTransportFilter())
-				.add(codec)
-				.add(new ResponseFilter())
-				.build())
+			.processor(
+					FilterChainBuilder.stateless().add(new EndAwareTransportFilter()).add(new ResponseFilter()).build())
 			.probe(traffic)
 			.build();
 		return new HttpClient(transport, connector, timer, connectTimeoutMillis, traffic);
@@ -232,12 +226,12 @@
 
 		@Override
 		public NextAction handleRead(FilterChainContext context) {
-			HttpContent content = context.getMessage();
+			Buffer bytes = context.getMessage();
 			HttpConnection connection = HttpConnection.of(context.getConnection());
 			if (connection != null) {
-				connection.handleContent(content);
+				connection.handleBytes(bytes.toByteBuffer());
 			}
-			content.recycle();
+			bytes.tryDispose();
 			return context.getStopAction();
 		}
 
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
@@ -1,5 +1,9 @@
 package org.monsoonvalve.core.connection;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -12,10 +16,6 @@
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
-import org.glassfish.grizzly.http.HttpContent;
-import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 import org.monsoonvalve.core.request.FailureCode;
@@ -33,9 +33,11 @@
 	private static final Attribute<HttpConnection> ATTRIBUTE = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
 		.createAttribute(HttpConnection.class.getName());
 
-	private static final int NO_CONTENT = 204;
+	/** Largest header section of a response. */
+	private static final int MAX_HEAD_BYTES = 16 * 1024;
 
-	private static final int NOT_MODIFIED = 304;
+	/** Fields of a request that follow from its content and are not passed on. */
+	private static final Set<String> FRAMING_FIELDS = Set.of("host", "content-length", "transfer-encoding");
 
 	private final Address address;
 
@@ -110,7 +112,12 @@
 			Exchange exchange = start(request, timeoutMillis, collector);
 			ScheduledFuture<?> deadline = this.timer.schedule(() -> fail(exchange, deadlineExceeded(timeoutMillis)),
 					timeoutMillis, TimeUnit.MILLISECONDS);
-			collector.response().whenComplete((response, failure) -> deadline.cancel(false));
+			collector.response().whenComplete((response, failure) -> {
+				deadline.cancel(false);
+				if (failure != null) {
+					close();
+				}
+			});
 		}
 		catch (ServingException ex) {
 			collector.onFailure(ex);
@@ -194,11 +201,11 @@
 		}
 	}
 
-	private static <L> void write(Connection<L> connection, HttpContent content, Exchange exchange) {
-		connection.write(content, new EmptyCompletionHandler<WriteResult<HttpContent, L>>() {
+	private static <L> void write(Connection<L> connection, Buffer message, Exchange exchange) {
+		connection.write(message, new EmptyCompletionHandler<WriteResult<Buffer, L>>() {
 
 			@Override
-			public void completed(WriteResult<HttpContent, L> result) {
+			public void completed(WriteResult<Buffer, L> result) {
 				exchange.requestWrite.complete(null);
 			}
 
@@ -210,14 +217,25 @@
 		});
 	}
 
-	void handleContent(HttpContent content) {
+	/**
+	 * Handles bytes that arrived. Those that follow a complete response belong to no
+	 * request, and end the connection.
+	 * @param bytes the bytes
+	 */
+	void handleBytes(ByteBuffer bytes) {
 		Exchange exchange = this.inFlight.get();
 		if (exchange == null) {
 			this.connection.closeSilently();
 			return;
 		}
 		exchange.recordProgress();
-		exchange.handleContent(content);
+		try {
+			exchange.handleBytes(bytes);
+		}
+		catch (ServingException ex) {
+			fail(exchange, new ServingException(FailureCode.ENDPOINT_LOST,
+					"the response from " + this.address + " is malformed: " + ex.getMessage()));
+		}
 	}
 
 	private void fail(Exchange exchange, ServingException failure) {
@@ -228,26 +246,34 @@
 		}
 	}
 
-	private HttpContent encode(HttpRequest request) {
-		HttpRequestPacket.Builder builder = HttpRequestPacket.builder()
-			.method(request.method())
-			.uri(request.target())
-			.protocol(Protocol.HTTP_1_1)
-			.header("Host", request.headers().get("Host").orElseGet(this.address::toString))
-			.contentLength(request.body().length);
+	private Buffer encode(HttpRequest request) {
+		StringBuilder head = new StringBuilder(request.method()).append(' ')
+			.append(request.target())
+			.append(" HTTP/1.1\r\n");
+		append(head, "Host", request.headers().get("Host").orElseGet(this.address::toString));
 		request.headers()
 			.fields()
 			.stream()
-			.filter((field) -> !"Host".equalsIgnoreCase(field.name()))
-			.forEach((field) -> builder.header(field.name(), field.value()));
-		Buffer body = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, request.body());
-		return HttpContent.builder(builder.build()).content(body).last(true).build();
+			.filter((field) -> !FRAMING_FIELDS.contains(field.name().toLowerCase(Locale.ROOT)))
+			.forEach((field) -> append(head, field.name(), field.value()));
+		append(head, "Content-Length", String.valueOf(request.body().length));
+		byte[] bytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+		Buffer buffer = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes);
+		return (request.body().length == 0) ? buffer : Buffers.appendBuffers(MemoryManager.DEFAULT_MEMORY_MANAGER,
+				buffer, Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, request.body()));
 	}
 
-	private final class Exchange {
+	private static void append(StringBuilder head, String name, String value) {
+		MessageGrammar.requireFieldValue(value);
+		head.append(name).append(": ").append(value).append("\r\n");
+	}
+
+	private final class Exchange implements MessageReader.Listener {
 
 		private final boolean head;
 
+		private final MessageReader reader = MessageReader.ofResponse(MAX_HEAD_BYTES, this);
+
 		private final ResponseListener listener;
 
 		private final long progressTimeoutMillis;
@@ -303,35 +329,34 @@
 					"no data from " + HttpConnection.this.address + " for " + this.progressTimeoutMillis + " ms"));
 		}
 
-		private void handleContent(HttpContent content) {
-			if (!this.headersReceived) {
-				this.headersReceived = true;
-				HttpResponsePacket response = (HttpResponsePacket) content.getHttpHeader();
-				Headers headers = ServerConnection.headersOf(response);
-				this.closeDelimited = !response.isChunked() && response.getContentLength() < 0
-						&& mayHaveContent(response.getStatus());
-				HttpConnection.this.keepAliveMillis = headers.keepAliveMillis();
-				if (this.closeDelimited || headers.closesConnection()) {
+		private void handleBytes(ByteBuffer bytes) {
+			if (this.reader.read(bytes)) {
+				if (bytes.hasRemaining()) {
 					HttpConnection.this.reusable = false;
 				}
-				this.listener.onHeaders(response.getStatus(), headers);
-			}
-			Buffer buffer = content.getContent();
-			if (buffer.hasRemaining()) {
-				byte[] chunk = new byte[buffer.remaining()];
-				buffer.get(chunk);
-				this.listener.onBody(chunk);
-			}
-			if (content.isLast() && this.closeDelimited) {
-				handleClose();
-			}
-			else if (content.isLast()) {
 				complete();
 			}
 		}
 
-		private boolean mayHaveContent(int status) {
-			return !this.head && status != NO_CONTENT && status != NOT_MODIFIED;
+		@Override
+		public boolean mayHaveContent() {
+			return !this.head;
+		}
+
+		@Override
+		public void onHead(int status, Headers headers, boolean untilClose) {
+			this.headersReceived = true;
+			this.closeDelimited = untilClose;
+			HttpConnection.this.keepAliveMillis = headers.keepAliveMillis();
+			if (untilClose || headers.closesConnection()) {
+				HttpConnection.this.reusable = false;
+			}
+			this.listener.onHeaders(status, headers);
+		}
+
+		@Override
+		public void onContent(byte[] part) {
+			this.listener.onBody(part);
 		}
 
 		// Any other end, also one that a failed write or this side brought about, leaves
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -29,6 +29,7 @@
 import org.monsoonvalve.core.connection.HttpClient;
 import org.monsoonvalve.core.connection.HttpLimits;
 import org.monsoonvalve.core.connection.HttpServer;
+import org.monsoonvalve.core.connection.MessageReaderTests;
 import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.gateway.connection.Endpoint;
 import org.monsoonvalve.gateway.connection.EndpointSet;
@@ -430,6 +431,21 @@
 		}
 	}
 
+	// Guards against a response with status 000, with a spoilt length, or with a line
+	// that
+	// is no field: callers got it as a complete response.
+	@Test(dataProvider = "malformedResponses", dataProviderClass = MessageReaderTests.class)
+	public void aMalformedResponseIsNotPassedOn(String malformed) throws IOException {
+		for (ScriptedEndpoint.ConnectionAction action : List.of(ScriptedEndpoint.ConnectionAction.KEEP,
+				ScriptedEndpoint.ConnectionAction.CLOSE)) {
+			ScriptedEndpoint endpoint = endpoint(malformed, action);
+			serve(RequestKind.UNSAFE, endpoint.address());
+			String response = sendAndRead();
+			Assert.assertTrue(response.startsWith("HTTP/1.1 502"), response);
+			this.frontend.close();
+		}
+	}
+
 	@Test
 	public void aStreamThatCannotBeResumedDoesNotLookComplete() throws IOException {
 		ScriptedEndpoint first = endpoint(STREAM.formatted(1) + chunk(event(1)),
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
@@ -115,7 +115,7 @@
 					if (!response.startsWith(part)) {
 						Thread.sleep(PAUSE_MILLIS);
 					}
-					socket.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
+					socket.getOutputStream().write(part.getBytes(StandardCharsets.ISO_8859_1));
 					socket.getOutputStream().flush();
 				}
 				if (number < this.responses.size()) {
