Bound the memory of all connections together, and check requests

The request bodies of some tens of callers exhausted the heap of a process, whose sockets then answered nothing any more, and a request that a proxy or an endpoint frames differently reached the handler.

Cause: each connection, request, response, event and frame had a limit, and nothing bounded their sum; buffers were kept at twice their largest size, and connections that were given up stayed until their peers had read what was queued. The codec of the library accepts malformed requests as it does responses.

Change: requests, unread responses, incomplete responses and peers' frames take a part of the heap each. What exceeds it is refused as not run, or cut off where most is unread. Connections that are given up are closed at once. RequestGuard checks the bytes of callers with the reader of the responses before the codec gets them, and answers 400 to what is malformed. An OutOfMemoryError ends the process instead of one of its threads.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EventLoop.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EventLoop.java
@@ -66,8 +66,9 @@
 
 	/**
 	 * Starts an event loop.
-	 * @param onTaskFailure receives the runtime exceptions that tasks and timers throw,
-	 * after which the loop continues
+	 * @param onTaskFailure receives what tasks and timers throw, after which the loop
+	 * continues; an error of the virtual machine ends the process, as what it interrupted
+	 * is left in an unknown state
 	 * @return the loop
 	 * @throws UncheckedIOException if the transport cannot start
 	 */
@@ -216,7 +217,10 @@
 		try {
 			task.run();
 		}
-		catch (RuntimeException ex) {
+		catch (VirtualMachineError ex) {
+			throw ex;
+		}
+		catch (RuntimeException | Error ex) {
 			this.onTaskFailure.accept(ex);
 		}
 	}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
@@ -145,11 +145,11 @@
 	}
 
 	/**
-	 * Closes the connection. A request in flight fails with
-	 * {@link FailureCode#ENDPOINT_LOST}.
+	 * Closes the connection, also if the peer has not read all of a request. A request in
+	 * flight fails with {@link FailureCode#ENDPOINT_LOST}.
 	 */
 	public void close() {
-		this.connection.closeSilently();
+		this.connection.terminateSilently();
 		handleClose();
 	}
 
@@ -225,7 +225,7 @@
 	void handleBytes(ByteBuffer bytes) {
 		Exchange exchange = this.inFlight.get();
 		if (exchange == null) {
-			this.connection.closeSilently();
+			this.connection.terminateSilently();
 			return;
 		}
 		exchange.recordProgress();
@@ -240,7 +240,7 @@
 
 	private void fail(Exchange exchange, ServingException failure) {
 		if (exchange != null && this.inFlight.compareAndSet(exchange, null)) {
-			this.connection.closeSilently();
+			this.connection.terminateSilently();
 			exchange.cancelProgressCheck();
 			exchange.listener.onFailure(failure);
 		}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpLimits.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpLimits.java
@@ -8,8 +8,10 @@
  * @param bodyBytes the maximum size of the request content, in bytes
  * @param pendingBytes the response content that may be buffered for a slow client, in
  * bytes
+ * @param totalBytes the memory that the requests of all clients may take, and the same
+ * again for the responses, in bytes
  */
-public record HttpLimits(int headerBytes, int bodyBytes, int pendingBytes) {
+public record HttpLimits(int headerBytes, int bodyBytes, int pendingBytes, long totalBytes) {
 
 	private static final int KIB = 1024;
 
@@ -19,6 +21,20 @@
 
 	private static final int DEFAULT_PENDING_BYTES = 1024 * KIB;
 
+	/** Part of the largest heap that either direction may take. */
+	private static final int TOTAL_HEAP_DIVISOR = 5;
+
+	/**
+	 * Creates limits whose total is a part of the largest heap of this process.
+	 * @param headerBytes the maximum size of the header section, in bytes
+	 * @param bodyBytes the maximum size of the request content, in bytes
+	 * @param pendingBytes the response content that may be buffered for a slow client, in
+	 * bytes
+	 */
+	public HttpLimits(int headerBytes, int bodyBytes, int pendingBytes) {
+		this(headerBytes, bodyBytes, pendingBytes, Runtime.getRuntime().maxMemory() / TOTAL_HEAP_DIVISOR);
+	}
+
 	/**
 	 * Returns the default limits.
 	 * @return the limits
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpServer.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpServer.java
@@ -12,8 +12,6 @@
 import java.util.function.Function;
 
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.Grizzly;
-import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -53,10 +51,13 @@
 
 	private final Set<ServerConnection> connections;
 
+	private final ServerMemory memory;
+
 	private final AtomicBoolean draining;
 
 	private HttpServer(TCPNIOTransport transport, boolean ownsTransport, TCPNIOServerConnection listener,
-			Set<ServerConnection> connections, AtomicBoolean draining) {
+			Set<ServerConnection> connections, ServerMemory memory, AtomicBoolean draining) {
+		this.memory = memory;
 		this.transport = transport;
 		this.ownsTransport = ownsTransport;
 		this.listener = listener;
@@ -122,20 +123,22 @@
 			HttpLimits limits, Consumer<IncomingCall> handler) {
 		AtomicBoolean draining = new AtomicBoolean();
 		Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
+		ServerMemory memory = new ServerMemory(limits, connections);
 		HttpServerFilter codec = new CallCodec(limits);
 		codec.setAllowPayloadForUndefinedHttpMethods(true);
 		FilterChain chain = FilterChainBuilder.stateless()
 			.add(new TransportFilter())
+			.add(new RequestGuard())
 			.add(codec)
 			.add(new CallFilter(connections,
-					(connection) -> new ServerConnection(connection, limits, draining::get, handler)))
+					(connection) -> new ServerConnection(connection, limits, memory, draining::get, handler)))
 			.build();
 		try {
 			TCPNIOServerConnection listener = TCPNIOBindingHandler.builder(transport)
 				.processor(chain)
 				.build()
 				.bind(address.toSocketAddress(), ACCEPT_BACKLOG);
-			return new HttpServer(transport, ownsTransport, listener, connections, draining);
+			return new HttpServer(transport, ownsTransport, listener, connections, memory, draining);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException("cannot listen on " + address, ex);
@@ -177,6 +180,22 @@
 		return this.connections.stream().mapToInt(ServerConnection::callsInProgress).sum();
 	}
 
+	/**
+	 * Returns the memory that the requests in progress take.
+	 * @return the number of bytes
+	 */
+	public long requestBytes() {
+		return this.memory.requests().reservedBytes();
+	}
+
+	/**
+	 * Returns the memory of responses that clients have not read yet.
+	 * @return the number of bytes
+	 */
+	public long unreadResponseBytes() {
+		return this.memory.responses().reservedBytes();
+	}
+
 	/**
 	 * Stops accepting connections, waits for requests in progress and closes the server.
 	 * @param graceMillis the maximum wait, in milliseconds
@@ -220,9 +239,6 @@
 
 	private static final class CallFilter extends BaseFilter {
 
-		private static final Attribute<ServerConnection> CONNECTION = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
-			.createAttribute(ServerConnection.class.getName());
-
 		private final Set<ServerConnection> connections;
 
 		private final Function<Connection<?>, ServerConnection> factory;
@@ -235,7 +251,6 @@
 		@Override
 		public NextAction handleAccept(FilterChainContext context) {
 			ServerConnection connection = this.factory.apply(context.getConnection());
-			CONNECTION.set(context.getConnection(), connection);
 			this.connections.add(connection);
 			return context.getInvokeAction();
 		}
@@ -243,14 +258,14 @@
 		@Override
 		public NextAction handleRead(FilterChainContext context) {
 			HttpContent content = context.getMessage();
-			CONNECTION.get(context.getConnection()).handleContent(content);
+			ServerConnection.of(context.getConnection()).handleContent(content);
 			content.recycle();
 			return context.getStopAction();
 		}
 
 		@Override
 		public NextAction handleClose(FilterChainContext context) {
-			ServerConnection connection = CONNECTION.get(context.getConnection());
+			ServerConnection connection = ServerConnection.of(context.getConnection());
 			if (connection != null) {
 				this.connections.remove(connection);
 				connection.handleClose();
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/IncomingCall.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/IncomingCall.java
@@ -38,6 +38,8 @@
 
 	private final byte[] body;
 
+	private final Runnable releaseBody;
+
 	private final boolean keepAlive;
 
 	private final AtomicBoolean answered = new AtomicBoolean();
@@ -54,7 +56,9 @@
 	private volatile Runnable onFinished = () -> {
 	};
 
-	IncomingCall(ServerConnection connection, HttpRequestPacket request, Headers headers, byte[] body) {
+	IncomingCall(ServerConnection connection, HttpRequestPacket request, Headers headers, byte[] body,
+			Runnable releaseBody) {
+		this.releaseBody = releaseBody;
 		this.connection = connection;
 		this.request = request;
 		this.method = request.getMethod().getMethodString();
@@ -233,7 +237,7 @@
 		if (this.finished.compareAndSet(false, true)) {
 			this.answered.set(true);
 			this.connection.close();
-			this.onFinished.run();
+			ended();
 		}
 	}
 
@@ -249,16 +253,23 @@
 		if (this.finished.compareAndSet(false, true)) {
 			this.answered.set(true);
 			this.onAbandoned.run();
-			this.onFinished.run();
+			ended();
 		}
 	}
 
+	private void ended() {
+		this.releaseBody.run();
+		this.onFinished.run();
+	}
+
 	private void complete(HttpResponsePacket packet, byte[] content) {
 		if (!this.finished.compareAndSet(false, true)) {
 			return;
 		}
-		this.connection.write(packet, content, true);
-		this.onFinished.run();
+		if (!this.connection.write(packet, content, true)) {
+			this.connection.close();
+		}
+		ended();
 		this.connection.responseEnded(this, this.keepAliveAfterResponse);
 	}
 
@@ -267,7 +278,7 @@
 		packet.setStatus(status);
 		packet.setAcknowledgement(false);
 		packet.setProtocol(org.glassfish.grizzly.http.Protocol.HTTP_1_1);
-		this.keepAliveAfterResponse = this.keepAlive && !this.connection.draining();
+		this.keepAliveAfterResponse = this.keepAlive && !this.connection.closesAfter(this);
 		if (!this.keepAliveAfterResponse) {
 			packet.addHeader("Connection", "close");
 		}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Comparator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
@@ -17,6 +19,7 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -37,7 +40,8 @@
  * Exchanges MessagePack frames with peers over TCP and matches replies to requests by
  * correlation number. A reply that arrives after its timeout is dropped, and the
  * connection on which a request timed out is closed, so that the next request opens a new
- * one.
+ * one. What peers leave incomplete or unread takes a limited part of the heap; beyond it,
+ * the connections that take the most are closed.
  *
  * @author monsoonvalve maintainers
  */
@@ -47,6 +51,15 @@
 
 	private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
+	/** Part of the largest heap that either direction may take. */
+	private static final int HEAP_DIVISOR = 12;
+
+	private final ConcurrentMap<Connection<?>, PeerMemory> memories = new ConcurrentHashMap<>();
+
+	private final MemoryBudget incompleteFrames = MemoryBudget.ofHeap(HEAP_DIVISOR);
+
+	private final MemoryBudget unreadFrames = MemoryBudget.ofHeap(HEAP_DIVISOR);
+
 	private final TCPNIOTransport transport;
 
 	private final boolean ownsTransport;
@@ -230,7 +243,7 @@
 		}
 		CompletableFuture<Connection<?>> opened = this.connections.remove(request.address);
 		if (opened != null) {
-			opened.thenAccept(Connection::closeSilently);
+			opened.thenAccept(Connection::terminateSilently);
 		}
 		fail(number, "timed out");
 	}
@@ -256,8 +269,56 @@
 		byte[] content = Codec.MESSAGE_PACK.encode(envelope);
 		Buffer buffer = MemoryManager.DEFAULT_MEMORY_MANAGER.allocate(LENGTH_BYTES + content.length);
 		buffer.putInt(content.length).put(content).flip();
+		int bytes = buffer.remaining();
+		MemoryBudget.Reservation unread = memoryOf(connection).unread();
+		if (!reserve(connection, unread, unread.bytes() + bytes, PeerMemory::unread)) {
+			return;
+		}
 		this.framesOut.increment();
-		connection.write(buffer);
+		write(connection, buffer, () -> unread.add(-bytes));
+	}
+
+	// Closes the connections that take the most memory until there is enough.
+	private boolean reserve(Connection<?> connection, MemoryBudget.Reservation reservation, long bytes,
+			Function<PeerMemory, MemoryBudget.Reservation> direction) {
+		while (!reservation.resize(bytes)) {
+			Connection<?> largest = this.memories.entrySet()
+				.stream()
+				.max(Comparator.comparingLong((entry) -> direction.apply(entry.getValue()).bytes()))
+				.map(Map.Entry::getKey)
+				.orElse(connection);
+			// Closing in an orderly way would wait until the peer has read everything.
+			largest.terminateSilently();
+			release(largest);
+			if (largest == connection) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private void release(Connection<?> connection) {
+		Optional.ofNullable(this.memories.remove(connection)).ifPresent(PeerMemory::release);
+	}
+
+	private static <L> void write(Connection<L> connection, Buffer buffer, Runnable onWritten) {
+		connection.write(buffer, new EmptyCompletionHandler<WriteResult<Buffer, L>>() {
+
+			@Override
+			public void completed(WriteResult<Buffer, L> result) {
+				onWritten.run();
+			}
+
+		});
+	}
+
+	private PeerMemory memoryOf(Connection<?> connection) {
+		PeerMemory memory = this.memories.computeIfAbsent(connection,
+				(absent) -> new PeerMemory(this.incompleteFrames.reservation(), this.unreadFrames.reservation()));
+		if (!connection.isOpen()) {
+			release(connection);
+		}
+		return memory;
 	}
 
 	private void handleEnvelope(Connection<?> connection, Envelope envelope) {
@@ -302,6 +363,21 @@
 
 	}
 
+	/**
+	 * The memory that a connection takes.
+	 *
+	 * @param incomplete the bytes of a frame that has not arrived entirely
+	 * @param unread the frames that the peer has not read yet
+	 */
+	private record PeerMemory(MemoryBudget.Reservation incomplete, MemoryBudget.Reservation unread) {
+
+		private void release() {
+			this.incomplete.close();
+			this.unread.close();
+		}
+
+	}
+
 	private final class FrameFilter extends BaseFilter {
 
 		@Override
@@ -321,18 +397,27 @@
 					return context.getStopAction();
 				}
 				if (buffer.remaining() < LENGTH_BYTES + length) {
-					return context.getStopAction(buffer);
+					return awaitRest(context, buffer);
 				}
 				byte[] content = new byte[length];
 				buffer.getInt();
 				buffer.get(content);
 				handleEnvelope(context.getConnection(), Codec.MESSAGE_PACK.decode(content, Envelope.class));
 			}
+			return awaitRest(context, buffer);
+		}
+
+		private NextAction awaitRest(FilterChainContext context, Buffer buffer) {
+			Connection<?> connection = context.getConnection();
+			if (!reserve(connection, memoryOf(connection).incomplete(), buffer.remaining(), PeerMemory::incomplete)) {
+				return context.getStopAction();
+			}
 			return buffer.hasRemaining() ? context.getStopAction(buffer) : context.getStopAction();
 		}
 
 		@Override
 		public NextAction handleClose(FilterChainContext context) {
+			release(context.getConnection());
 			failRequestsOn(context.getConnection());
 			return context.getInvokeAction();
 		}
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpServerTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpServerTests.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
+import org.monsoonvalve.core.process.SmallHeap;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -21,7 +23,7 @@
 
 	private final List<IncomingCall> calls = Collections.synchronizedList(new ArrayList<>());
 
-	private volatile java.util.function.Consumer<IncomingCall> handler;
+	private volatile Consumer<IncomingCall> handler;
 
 	private EventLoop loop;
 
@@ -168,4 +170,153 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] malformedRequests() {
+		String post = "POST / HTTP/1.1\r\nHost: h\r\n";
+		return new Object[][] { { "GET / HTTP/1.1\r\nHost: h\r\nX Y: z\r\n\r\n" },
+				{ "GET / HTTP/1.1\r\nHost: h\r\nX : z\r\n\r\n" }, { "GET / HTTP/1.1\r\nHost: h\r\nno field\r\n\r\n" },
+				{ "GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n folded\r\n\r\n" },
+				{ "GET / HTTP/1.1\r\nHost: h\r\nX: a\u0001b\r\n\r\n" }, { "GET / HTTP/1.1\nHost: h\n\n" },
+				{ "GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n" }, { "GET  / HTTP/1.1\r\nHost: h\r\n\r\n" },
+				{ "G(T / HTTP/1.1\r\nHost: h\r\n\r\n" }, { "GET / HTTP/1.1 x\r\nHost: h\r\n\r\n" },
+				{ post + "Content-Length: 2x\r\n\r\nok" }, { post + "Content-Length: +2\r\n\r\nok" },
+				{ post + "Content-Length:\r\n\r\nok" }, { post + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok" },
+				{ post + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n" },
+				{ post + "Transfer-Encoding: xchunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" },
+				{ post + "Transfer-Encoding: chunked\r\n\r\n2x\r\nok\r\n0\r\n\r\n" },
+				{ post + "Transfer-Encoding: chunked\r\n\r\n2\r\nokay\r\n0\r\n\r\n" } };
+	}
+
+	// Guards against requests that an endpoint or a proxy frames differently.
+	@Test(dataProvider = "malformedRequests")
+	public void aMalformedRequestIsRefusedAndDoesNotReachTheHandler(String request) throws IOException {
+		try (Socket socket = send(request)) {
+			String response = readUntil(socket, "<never>");
+			Assert.assertTrue(response.startsWith("HTTP/1.1 400") && response.endsWith("<closed>"), response);
+			Assert.assertTrue(this.calls.isEmpty(), "the handler does not receive the request");
+		}
+	}
+
+	@Test
+	public void aRequestBeforeAMalformedOneIsAnsweredAndTheConnectionClosed() throws IOException {
+		this.handler = (call) -> this.loop.schedule(50, () -> call.reply(200, Headers.empty(), "sound".getBytes()));
+		try (Socket socket = send("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nno field\r\n\r\n")) {
+			String response = readUntil(socket, "<never>");
+			Assert.assertTrue(response.startsWith("HTTP/1.1 200") && response.endsWith("sound<closed>"), response);
+			Assert.assertEquals(this.calls.size(), 1);
+		}
+	}
+
+	// Guards against a client that never sees the refusal, as its connection is reset
+	// while it still sends.
+	@Test
+	public void aClientThatSendsTooMuchReceivesTheRefusal() throws IOException {
+		try (Socket socket = send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+			byte[] chunk = ("fa\r\n" + "x".repeat(250) + "\r\n").getBytes(StandardCharsets.US_ASCII);
+			for (int i = 0; i < 6; i++) {
+				socket.getOutputStream().write(chunk);
+			}
+			socket.getOutputStream().write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			String response = readUntil(socket, "<never>");
+			Assert.assertTrue(response.startsWith("HTTP/1.1 413") && response.endsWith("<closed>"), response);
+		}
+	}
+
+	// Guards against memory that each client takes within its own limits, and that
+	// together exhausts the heap.
+	@Test
+	public void requestsOfManyClientsFitASmallHeap() throws Exception {
+		Assert.assertEquals(SmallHeap.run(UnfinishedRequests.class, 48), "some refused, served");
+	}
+
+	@Test
+	public void responsesThatManyClientsDoNotReadFitASmallHeap() throws Exception {
+		Assert.assertEquals(SmallHeap.run(UnreadResponses.class, 48), "served");
+	}
+
+	private static String request(int port) throws IOException {
+		try (Socket socket = new Socket("127.0.0.1", port)) {
+			socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+			socket.getOutputStream()
+				.write("GET /small HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+					.getBytes(StandardCharsets.US_ASCII));
+			String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			return response.endsWith("served") ? "served" : response;
+		}
+	}
+
+	private static HttpServer startServer(Consumer<IncomingCall> handler) {
+		EventLoop loop = EventLoop.start((failure) -> {
+			throw new IllegalStateException(failure);
+		});
+		return HttpServer.start(loop, new Address("127.0.0.1", 0), new HttpLimits(16384, 4_000_000, 8_000_000),
+				handler);
+	}
+
+	/**
+	 * A server whose clients each send a part of a large request.
+	 */
+	public static final class UnfinishedRequests {
+
+		private UnfinishedRequests() {
+		}
+
+		public static void main(String[] arguments) throws Exception {
+			HttpServer server = startServer((call) -> call.reply(200, Headers.empty(), "served".getBytes()));
+			byte[] part = new byte[1_000_000];
+			boolean refused = false;
+			List<Socket> sockets = new ArrayList<>();
+			for (int i = 0; i < 60; i++) {
+				Socket socket = new Socket("127.0.0.1", server.address().port());
+				sockets.add(socket);
+				socket.getOutputStream()
+					.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\n"
+						.getBytes(StandardCharsets.US_ASCII));
+				socket.getOutputStream().write(part);
+			}
+			String served = HttpServerTests.request(server.address().port());
+			for (Socket socket : sockets) {
+				refused |= socket.getInputStream().available() > 0;
+			}
+			System.out.print((refused ? "some refused, " : "none refused, ") + served);
+			System.exit(0);
+		}
+
+	}
+
+	/**
+	 * A server whose clients leave large responses unread.
+	 */
+	public static final class UnreadResponses {
+
+		private UnreadResponses() {
+		}
+
+		public static void main(String[] arguments) throws Exception {
+			HttpServer server = startServer((call) -> {
+				if (call.path().equals("/small")) {
+					call.reply(200, Headers.empty(), "served".getBytes());
+					return;
+				}
+				call.begin(200, Headers.empty());
+				for (int i = 0; i < 90; i++) {
+					call.write(new byte[64_000]);
+				}
+				call.finish();
+			});
+			List<Socket> sockets = new ArrayList<>();
+			for (int i = 0; i < 100; i++) {
+				Socket socket = new Socket("127.0.0.1", server.address().port());
+				sockets.add(socket);
+				socket.getOutputStream()
+					.write(("GET /large HTTP/1.1\r\nHost: h\r\n" + ((i % 2 == 0) ? "Connection: close\r\n" : "")
+							+ "\r\n")
+						.getBytes(StandardCharsets.US_ASCII));
+			}
+			System.out.print(HttpServerTests.request(server.address().port()));
+			System.exit(0);
+		}
+
+	}
+
 }
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/PeerTransportTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/PeerTransportTests.java
@@ -4,6 +4,9 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -12,6 +15,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
+import org.monsoonvalve.core.process.Codec;
+import org.monsoonvalve.core.process.SmallHeap;
 import org.testng.Assert;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -95,4 +100,67 @@
 		}
 	}
 
+	// Guards against peers whose unfinished or unread frames together exhaust the heap.
+	@Test
+	public void framesOfManyPeersFitASmallHeap() throws Exception {
+		Assert.assertEquals(SmallHeap.run(ManyPeers.class, 48), "answered");
+	}
+
+	/**
+	 * Peers of which half send a part of a large frame, and half don't read the reply.
+	 */
+	public static final class ManyPeers {
+
+		private static final int PEERS = 120;
+
+		private static final int QUESTIONS = 20;
+
+		private static final byte[] FRAME_START = { 0, 0x40, 0, 0 };
+
+		private ManyPeers() {
+		}
+
+		public static void main(String[] arguments) throws Exception {
+			ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+			Address address = new Address("127.0.0.1", freePort());
+			PeerFrame large = new PeerFrame.Push(List.of(new PeerFrame.Document("d", 7, new byte[1_000_000])));
+			PeerTransport.start(address, timer,
+					(frame) -> CompletableFuture.completedFuture((frame instanceof PeerFrame.Ack) ? frame : large));
+			byte[] question = Codec.MESSAGE_PACK
+				.encode(new PeerTransport.Envelope(1, false, new PeerFrame.SlotRelease("1")));
+			List<Socket> peers = new ArrayList<>();
+			for (int i = 0; i < PEERS; i++) {
+				Socket peer = new Socket(address.host(), address.port());
+				peers.add(peer);
+				try {
+					if (i % 2 == 0) {
+						peer.getOutputStream().write(FRAME_START);
+						peer.getOutputStream().write(new byte[500_000]);
+					}
+					for (int j = 0; i % 2 == 1 && j < QUESTIONS; j++) {
+						peer.getOutputStream().write(ByteBuffer.allocate(4).putInt(question.length).array());
+						peer.getOutputStream().write(question);
+					}
+				}
+				catch (SocketException ex) {
+					// The transport has closed the connection.
+					peer.close();
+				}
+			}
+			TimeUnit.MILLISECONDS.sleep(500);
+			PeerTransport asking = PeerTransport.start(new Address("127.0.0.1", freePort()), timer,
+					(frame) -> CompletableFuture.completedFuture(frame));
+			System.out.print((asking.ask(address, new PeerFrame.Ack(), 10_000).join() instanceof PeerFrame.Ack)
+					? "answered" : "other");
+			System.exit(0);
+		}
+
+		private static int freePort() throws IOException {
+			try (ServerSocket socket = new ServerSocket(0)) {
+				return socket.getLocalPort();
+			}
+		}
+
+	}
+
 }
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -194,6 +194,10 @@
 		this.registry.register("store_era", (Gauge<Long>) this.store::newestEra);
 		this.registry.register("store_answers_discarded", (Gauge<Long>) this.store::discardedAnswers);
 		this.registry.register("records_retained", (Gauge<Integer>) this.storeSync::retainedRecords);
+		this.registry.register("request_bytes", (Gauge<Long>) this.callers::requestBytes);
+		this.registry.register("unread_response_bytes", (Gauge<Long>) this.callers::unreadResponseBytes);
+		this.registry.register("incomplete_response_bytes",
+				(Gauge<Long>) this.dispatcher.responseMemory()::reservedBytes);
 		this.registry.register("store_history_bytes", (Gauge<Long>) this.storeSync::historyBytes);
 		this.registry.register("heap_bytes",
 				(Gauge<Long>) () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
@@ -67,6 +67,9 @@
 	/** Longest time that a reader waits for a change before it answers a follower. */
 	private static final long READER_WAIT_MILLIS = 600;
 
+	/** Questions that may wait for a change; each follower asks one at a time. */
+	private static final int MAX_WAITING_FOLLOWERS = 1000;
+
 	/** Interval between checks for a reader that is up to date. */
 	private static final long READER_CHECK_MILLIS = 150;
 
@@ -474,7 +477,8 @@
 
 	private void answerOrHold(PeerFrame.FactsQuestion question, CompletableFuture<PeerFrame> reply) {
 		this.store.observe(question.era());
-		if (question.waitMillis() <= 0 || this.replica.position().isAfter(question.after())) {
+		if (question.waitMillis() <= 0 || this.replica.position().isAfter(question.after())
+				|| this.waitingFollowers.size() >= MAX_WAITING_FOLLOWERS) {
 			reply.complete(factsFor(question));
 			return;
 		}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
@@ -7,6 +7,7 @@
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.Headers;
 import org.monsoonvalve.core.connection.HttpConnection;
+import org.monsoonvalve.core.connection.MemoryBudget;
 import org.monsoonvalve.core.connection.ResponseListener;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
@@ -63,6 +64,8 @@
 
 	private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
 
+	private final MemoryBudget.Reservation memory;
+
 	private EventSplitter splitter;
 
 	private long sentMillis;
@@ -78,6 +81,7 @@
 		this.dispatcher = dispatcher;
 		this.endpoint = endpoint;
 		this.forecast = forecast;
+		this.memory = dispatcher.responseMemory().reservation();
 		endpoint.requestStarted();
 	}
 
@@ -178,6 +182,7 @@
 	// Ends the attempt and closes its connection, as the response is incomplete.
 	void stop() {
 		cancelStallCheck();
+		this.memory.close();
 		if (!this.stopped) {
 			this.stopped = true;
 			this.endpoint.requestEnded();
@@ -197,6 +202,7 @@
 
 	private void finish() {
 		cancelStallCheck();
+		this.memory.close();
 		if (!this.stopped) {
 			this.stopped = true;
 			this.endpoint.requestEnded();
@@ -294,6 +300,17 @@
 		if (this.buffered.size() > MAX_BUFFERED_BYTES) {
 			bufferFull();
 		}
+		else {
+			reserve(this.buffered.size());
+		}
+	}
+
+	// A buffer is up to twice as large as its content.
+	private void reserve(int bytes) {
+		if (!this.memory.resize(2L * bytes)) {
+			responseFailed(new ServingException(FailureCode.ENDPOINT_LOST,
+					"incomplete responses take too much memory for another one of this size"));
+		}
 	}
 
 	// Only events are progress, as an endpoint may send comments or parts of an event
@@ -315,6 +332,9 @@
 			responseFailed(new ServingException(FailureCode.ENDPOINT_LOST,
 					"an event of the stream is larger than " + MAX_EVENT_BYTES + " bytes"));
 		}
+		else if (!this.stopped) {
+			reserve(this.splitter.partialBytes());
+		}
 	}
 
 	// The body of a response that may not be passed on can be endless.
@@ -341,6 +361,7 @@
 
 	private void relayBuffered() {
 		this.relaying = true;
+		this.memory.resize(0);
 		this.exchange.response().start(this.status, ForwardedHeaders.ofResponse(this.headers));
 		this.exchange.response().write(this.buffered.toByteArray());
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Dispatcher.java
@@ -18,6 +18,7 @@
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.Headers;
 import org.monsoonvalve.core.connection.IncomingCall;
+import org.monsoonvalve.core.connection.MemoryBudget;
 import org.monsoonvalve.core.process.LogEvent;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.Problem;
@@ -77,6 +78,11 @@
 
 	private static final double MAX_RETRY_AFTER_SECONDS = 0.9;
 
+	/** Part of the largest heap that incomplete responses of endpoints may take. */
+	private static final int RESPONSE_HEAP_DIVISOR = 10;
+
+	private final MemoryBudget responseMemory = MemoryBudget.ofHeap(RESPONSE_HEAP_DIVISOR);
+
 	private final EventLoop loop;
 
 	private final HeaderNames names;
@@ -274,6 +280,14 @@
 		this.coldRate.seek(request, candidates, EventLoop.nowMillis());
 	}
 
+	/**
+	 * Returns the budget of the responses that are kept until more of them has arrived.
+	 * @return the budget
+	 */
+	public MemoryBudget responseMemory() {
+		return this.responseMemory;
+	}
+
 	Forecaster forecaster() {
 		return this.forecaster;
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/EventSplitter.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/EventSplitter.java
@@ -17,7 +17,10 @@
 
 	private static final String COMMENT = ":";
 
-	private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
+	/** Size of an event above which its buffer is not used for the next one. */
+	private static final int MAX_REUSED_BYTES = 4 * 1024;
+
+	private ByteArrayOutputStream partial = new ByteArrayOutputStream();
 
 	private int lineLength;
 
@@ -33,6 +36,9 @@
 			if (next == '\n') {
 				if (this.lineLength == 0) {
 					complete.add(Event.of(this.partial.toByteArray()));
+					if (this.partial.size() > MAX_REUSED_BYTES) {
+						this.partial = new ByteArrayOutputStream();
+					}
 					this.partial.reset();
 				}
 				this.lineLength = 0;
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreReplicaTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreReplicaTests.java
@@ -8,6 +8,7 @@
 
 import org.monsoonvalve.core.connection.PlatformStore;
 import org.monsoonvalve.core.connection.StorePosition;
+import org.monsoonvalve.core.process.SmallHeap;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +32,7 @@
 import org.monsoonvalve.core.connection.HttpServer;
 import org.monsoonvalve.core.connection.MessageReaderTests;
 import org.monsoonvalve.core.connection.StorePosition;
+import org.monsoonvalve.core.process.SmallHeap;
 import org.monsoonvalve.gateway.connection.Endpoint;
 import org.monsoonvalve.gateway.connection.EndpointSet;
 import org.monsoonvalve.gateway.process.CrashEvidence;
@@ -554,6 +556,14 @@
 		Assert.assertTrue(first.repeatedBytes.get() < 16_000_000, "sent " + first.repeatedBytes.get());
 	}
 
+	// Guards against endpoints whose bytes stay below the limit of a response, and
+	// together
+	// exhaust the heap.
+	@Test
+	public void partialEventsOfManyEndpointsFitASmallHeap() throws Exception {
+		Assert.assertEquals(SmallHeap.run(PartialEvents.class, 32), "served");
+	}
+
 	@DataProvider
 	public Object[][] tricklingStreams() {
 		return new Object[][] { { ScriptedEndpoint.ConnectionAction.COMMENTS_NOW_AND_THEN },
@@ -655,6 +665,39 @@
 		Assert.assertTrue(first.requests.size() <= 3, "sent " + first.requests.size());
 	}
 
+	/**
+	 * Many callers of endpoints that send parts of large events, and then one of an
+	 * endpoint that is sound.
+	 */
+	public static final class PartialEvents {
+
+		private static final int CALLERS = 150;
+
+		private PartialEvents() {
+		}
+
+		public static void main(String[] arguments) throws Exception {
+			ExchangeTests tests = new ExchangeTests();
+			tests.start();
+			ScriptedEndpoint endless = tests.endpoint(STREAM.formatted(1),
+					ScriptedEndpoint.ConnectionAction.SOME_CHUNKS);
+			tests.serve(RequestKind.STREAM, Collections.nCopies(20, endless.address()).toArray(Address[]::new));
+			List<Socket> callers = new ArrayList<>();
+			for (int i = 0; i < CALLERS; i++) {
+				callers.add(tests.send("", "id-" + i));
+			}
+			for (Socket caller : callers) {
+				caller.getInputStream().read();
+			}
+			ScriptedEndpoint sound = tests.endpoint(OK, ScriptedEndpoint.ConnectionAction.KEEP);
+			tests.serve(RequestKind.SAFE, sound.address());
+			String response = tests.sendAndRead();
+			System.out.print(response.endsWith("ok") ? "served" : response);
+			System.exit(0);
+		}
+
+	}
+
 	/**
 	 * Lets no process try a blocked part again.
 	 */
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
@@ -143,7 +143,7 @@
 
 	private void repeatUntilClosed(OutputStream output) throws IOException {
 		try {
-			while (true) {
+			for (int i = 0; i < this.connectionAction.maxRepeats; i++) {
 				byte[] next = this.connectionAction.repeated.getBytes(StandardCharsets.US_ASCII);
 				output.write(next);
 				output.flush();
@@ -201,6 +201,9 @@
 		/** Chunks of letters follow without end. */
 		ENDLESS_CHUNKS("1f40\r\n" + "a".repeat(8000) + "\r\n", 0),
 
+		/** Some chunks of letters follow, less than an event may have. */
+		SOME_CHUNKS("1f40\r\n" + "a".repeat(8000) + "\r\n", 0, 25),
+
 		/** A chunk with a comment in place of an event follows now and then. */
 		COMMENTS_NOW_AND_THEN("3\r\n:\n\n\r\n", 50),
 
@@ -211,9 +214,16 @@
 
 		private final long intervalMillis;
 
+		private final int maxRepeats;
+
 		ConnectionAction(String repeated, long intervalMillis) {
+			this(repeated, intervalMillis, Integer.MAX_VALUE);
+		}
+
+		ConnectionAction(String repeated, long intervalMillis, int maxRepeats) {
 			this.repeated = repeated;
 			this.intervalMillis = intervalMillis;
+			this.maxRepeats = maxRepeats;
 		}
 
 		private boolean repeats() {
