Limit readiness checks and unread responses to small parts of the heap

The budgets of the three servers of a gateway added up to more than the heap. Readiness checks and metrics now share 4 MiB each, and unread responses may take half of what requests may.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpLimits.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpLimits.java
@@ -8,8 +8,8 @@
  * @param bodyBytes the maximum size of the request content, in bytes
  * @param pendingBytes the response content that may be buffered for a slow client, in
  * bytes
- * @param totalBytes the memory that the requests of all clients may take, and the same
- * again for the responses, in bytes
+ * @param totalBytes the memory that the requests of all clients may take, in bytes; the
+ * responses that clients have not read may take half as much
  */
 public record HttpLimits(int headerBytes, int bodyBytes, int pendingBytes, long totalBytes) {
 
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/ServerMemory.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/ServerMemory.java
@@ -26,7 +26,7 @@
 	 */
 	ServerMemory(HttpLimits limits, Collection<ServerConnection> connections) {
 		this.requests = MemoryBudget.of(limits.totalBytes());
-		this.responses = MemoryBudget.of(limits.totalBytes());
+		this.responses = MemoryBudget.of(limits.totalBytes() / 2);
 		this.connections = connections;
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/Gateway.java
@@ -67,6 +67,12 @@
 	 */
 	private static final HttpLimits HTTP_LIMITS = new HttpLimits(64 * 1024, 4 * 1024 * 1024 + 64 * 1024, 1024 * 1024);
 
+	/**
+	 * The same for readiness checks and metrics, which have no request content, and the
+	 * memory that all of them may take.
+	 */
+	private static final HttpLimits CHECK_LIMITS = new HttpLimits(16 * 1024, 1024, 1024 * 1024, 4 * 1024 * 1024);
+
 	/** Time for the last answers to leave before the connections are closed. */
 	private static final long LAST_ANSWERS_MILLIS = 150;
 
@@ -186,8 +192,8 @@
 		this.registration = new ProcessRegistration(this.store,
 				Member.of(settings.name(), settings.zone(), settings.peers()),
 				() -> this.loop.execute(() -> this.shares.rejoined(this.startMillis)), this.control, log);
-		HttpServer.start(this.loop, settings.readiness(), HttpLimits.defaults(), this::readiness);
-		HttpServer.start(this.loop, settings.metrics(), HttpLimits.defaults(), this::metrics);
+		HttpServer.start(this.loop, settings.readiness(), CHECK_LIMITS, this::readiness);
+		HttpServer.start(this.loop, settings.metrics(), CHECK_LIMITS, this::metrics);
 		this.callers = HttpServer.start(this.loop, settings.callers(), HTTP_LIMITS, this.dispatcher::accept);
 		this.registry.register("prompt_parts_blocked", (Gauge<Integer>) this.crashes::blockedParts);
 		this.registry.register("endpoints_limited", (Gauge<Integer>) this.limits::size);
