--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
@@ -282,6 +282,10 @@
 	private boolean reserve(Connection<?> connection, MemoryBudget.Reservation reservation, long bytes,
 			Function<PeerMemory, MemoryBudget.Reservation> direction) {
 		while (!reservation.resize(bytes)) {
+			// The reservation of a closed connection has ended.
+			if (!connection.isOpen()) {
+				return false;
+			}
 			Connection<?> largest = this.memories.entrySet()
 				.stream()
 				.max(Comparator.comparingLong((entry) -> direction.apply(entry.getValue()).bytes()))
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/ServerConnection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/ServerConnection.java
@@ -124,6 +124,10 @@
 		return this.draining.getAsBoolean() || call == this.refusedCall;
 	}
 
+	boolean open() {
+		return this.connection.isOpen();
+	}
+
 	MemoryBudget.Reservation pendingWrites() {
 		return this.pendingWrites;
 	}
@@ -318,7 +322,7 @@
 	// Returns false if the connection is closed or too many bytes wait for the client.
 	boolean write(HttpResponsePacket response, byte[] chunk, boolean last) {
 		long bytes = chunk.length + WRITE_OVERHEAD_BYTES;
-		if (!this.connection.isOpen() || this.pendingWrites.bytes() > this.limits.pendingBytes()
+		if (!open() || this.pendingWrites.bytes() > this.limits.pendingBytes()
 				|| !this.memory.reserveWrite(this, bytes)) {
 			return false;
 		}
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/ServerMemory.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/ServerMemory.java
@@ -51,10 +51,14 @@
 	 * budget is exhausted.
 	 * @param writer the connection that writes
 	 * @param bytes the memory of the write, in bytes
-	 * @return {@code false} if the writer itself is the slowest reader
+	 * @return {@code false} if the writer itself is the slowest reader, or closed
 	 */
 	boolean reserveWrite(ServerConnection writer, long bytes) {
 		while (!writer.pendingWrites().add(bytes)) {
+			// The reservation of a closed connection has ended.
+			if (!writer.open()) {
+				return false;
+			}
 			Optional<ServerConnection> slowest = this.connections.stream()
 				.max(Comparator.comparingLong((connection) -> connection.pendingWrites().bytes()));
 			if (slowest.isEmpty() || slowest.get() == writer || slowest.get().pendingWrites().bytes() == 0) {
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/PeerTransportTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/PeerTransportTests.java
@@ -150,8 +150,9 @@
 			TimeUnit.MILLISECONDS.sleep(500);
 			PeerTransport asking = PeerTransport.start(new Address("127.0.0.1", freePort()), timer,
 					(frame) -> CompletableFuture.completedFuture(frame));
-			System.out.print((asking.ask(address, new PeerFrame.Ack(), 10_000).join() instanceof PeerFrame.Ack)
-					? "answered" : "other");
+			System.out.print(asking.ask(address, new PeerFrame.Ack(), 10_000)
+				.handle((reply, failure) -> (reply instanceof PeerFrame.Ack) ? "answered" : String.valueOf(failure))
+				.join());
 			System.exit(0);
 		}
 
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/SmallHeap.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/SmallHeap.java
@@ -9,7 +9,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Runs a program in a virtual machine whose heap is small.
+ * Runs a program in a virtual machine whose heap is small. It has the options of a
+ * gateway: another garbage collector lacks contiguous memory for large arrays long before
+ * the heap is full.
  */
 public final class SmallHeap {
 
@@ -27,7 +29,7 @@
 	 */
 	public static String run(Class<?> program, int heapMegabytes) throws Exception {
 		Process process = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-				"-Xmx" + heapMegabytes + "m", "-cp",
+				"-Xmx" + heapMegabytes + "m", "-XX:+UseSerialGC", "-XX:+ExitOnOutOfMemoryError", "-cp",
 				System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
 				program.getName()))
 			.redirectErrorStream(true)
