--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpLimits.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpLimits.java
@@ -21,7 +21,7 @@
 
 	private static final int DEFAULT_PENDING_BYTES = 1024 * KIB;
 
-	/** Part of the largest heap that either direction may take. */
+	/** Part of the largest heap that the requests may take. */
 	private static final int TOTAL_HEAP_DIVISOR = 5;
 
 	/**
