Limit the values of a peer's frame together

A peer could make a process hold any amount: a frame has at most 16 MiB, and each compressed value in it was limited on its own, so that a frame of a few kilobytes could decompress to more than the heap holds.

Change: a decoder reads the values of one frame, which together may have 32 MiB. Besides, the number of fields of a message is stated in one place.

Result: theValuesOfAFrameAreLimitedTogether fails without the sum and passes with it.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpServer.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpServer.java
@@ -40,9 +40,6 @@
 	/** Connections that may wait to be accepted; absorbs one second of a burst. */
 	private static final int ACCEPT_BACKLOG = 1024;
 
-	/** Maximum header fields per request or response, well above what clients send. */
-	private static final int MAX_HEADER_FIELDS = 200;
-
 	private final TCPNIOTransport transport;
 
 	private final boolean ownsTransport;
@@ -231,7 +228,8 @@
 		// All constructors are deprecated without a replacement.
 		@SuppressWarnings("deprecation")
 		private CallCodec(HttpLimits limits) {
-			super(true, limits.headerBytes(), null, new KeepAlive(), null, MAX_HEADER_FIELDS, MAX_HEADER_FIELDS);
+			super(true, limits.headerBytes(), null, new KeepAlive(), null, MessageReader.MAX_FIELDS,
+					MessageReader.MAX_FIELDS);
 			setPreserveHeaderCase(true);
 		}
 
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/MessageReader.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/MessageReader.java
@@ -22,7 +22,7 @@
 	private static final int INITIAL_LINE_BYTES = 128;
 
 	/** Fields of a header section, well above what is sent. */
-	private static final int MAX_FIELDS = 200;
+	static final int MAX_FIELDS = 200;
 
 	/** Interim responses before a response. */
 	private static final int MAX_INTERIM_RESPONSES = 16;
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactCompressor.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactCompressor.java
@@ -26,8 +26,8 @@
 	/** Smaller values are sent as they are. */
 	static final int MIN_BYTES = 1024;
 
-	/** Largest value accepted from a peer; the store's limit is 1 MB. */
-	static final int MAX_BYTES = 16 * 1024 * 1024;
+	/** Largest size of all values in a frame; the store's limit for one is 1 MB. */
+	static final int MAX_FRAME_VALUE_BYTES = 32 * 1024 * 1024;
 
 	private static final int BUFFER_BYTES = 16 * 1024;
 
@@ -83,14 +83,12 @@
 	}
 
 	/**
-	 * Decodes the value of a key from a peer.
-	 * @param fact the encoded key
-	 * @return the value, {@code null} if the key was removed
-	 * @throws ServingException with {@link FailureCode#MALFORMED_CONTENT} if the value
-	 * can't be decompressed or is larger than {@value #MAX_BYTES} bytes
+	 * Creates a decoder for the values of one frame, whose total size is limited: a small
+	 * frame may decompress to any size.
+	 * @return the decoder
 	 */
-	static byte[] valueOf(PeerFrame.Fact fact) {
-		return fact.deflated() ? inflate(fact.value()) : fact.value();
+	static Decoder decoder() {
+		return new Decoder();
 	}
 
 	private static byte[] deflate(byte[] value) {
@@ -110,31 +108,58 @@
 		}
 	}
 
-	private static byte[] inflate(byte[] compressed) {
-		Inflater inflater = new Inflater();
-		try {
-			inflater.setInput(compressed);
-			ByteArrayOutputStream value = new ByteArrayOutputStream();
-			byte[] buffer = new byte[BUFFER_BYTES];
-			while (!inflater.finished()) {
-				int length = inflater.inflate(buffer);
-				if (length == 0 || value.size() + length > MAX_BYTES) {
-					throw new ServingException(FailureCode.MALFORMED_CONTENT,
-							"a compressed value is incomplete or larger than " + MAX_BYTES + " bytes");
-				}
-				value.write(buffer, 0, length);
-			}
-			return value.toByteArray();
-		}
-		catch (DataFormatException ex) {
-			throw new ServingException(FailureCode.MALFORMED_CONTENT, "a compressed value is malformed", ex);
+	private record CompressedValue(StorePosition position, byte[] bytes) {
+
+	}
+
+	/**
+	 * Decodes the values of one frame.
+	 */
+	static final class Decoder {
+
+		private int remainingBytes = MAX_FRAME_VALUE_BYTES;
+
+		private Decoder() {
 		}
-		finally {
-			inflater.end();
+
+		/**
+		 * Decodes the value of a key from a peer.
+		 * @param fact the encoded key
+		 * @return the value, {@code null} if the key was removed
+		 * @throws ServingException with {@link FailureCode#MALFORMED_CONTENT} if the
+		 * value can't be decompressed or the values of the frame are larger than
+		 * {@value #MAX_FRAME_VALUE_BYTES} bytes
+		 */
+		byte[] valueOf(PeerFrame.Fact fact) {
+			byte[] value = fact.deflated() ? inflate(fact.value()) : fact.value();
+			this.remainingBytes -= (value != null) ? value.length : 0;
+			return value;
 		}
-	}
 
-	private record CompressedValue(StorePosition position, byte[] bytes) {
+		private byte[] inflate(byte[] compressed) {
+			Inflater inflater = new Inflater();
+			try {
+				inflater.setInput(compressed);
+				ByteArrayOutputStream value = new ByteArrayOutputStream();
+				byte[] buffer = new byte[BUFFER_BYTES];
+				while (!inflater.finished()) {
+					int length = inflater.inflate(buffer);
+					if (length == 0 || value.size() + length > this.remainingBytes) {
+						throw new ServingException(FailureCode.MALFORMED_CONTENT,
+								"a compressed value is incomplete, or the values of a frame are larger than "
+										+ MAX_FRAME_VALUE_BYTES + " bytes");
+					}
+					value.write(buffer, 0, length);
+				}
+				return value.toByteArray();
+			}
+			catch (DataFormatException ex) {
+				throw new ServingException(FailureCode.MALFORMED_CONTENT, "a compressed value is malformed", ex);
+			}
+			finally {
+				inflater.end();
+			}
+		}
 
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
@@ -433,22 +433,24 @@
 			this.confirmedMillis = Math.max(this.confirmedMillis, EventLoop.nowMillis() - facts.storeAgeMillis());
 		}
 		boolean changed = false;
+		FactCompressor.Decoder decoder = FactCompressor.decoder();
 		if (position.isAfter(this.replica.position())) {
 			if (facts.whole()) {
-				changed = resetReplica(new PlatformStore.Snapshot(position, entriesOf(facts.facts())), peer.toString());
+				changed = resetReplica(new PlatformStore.Snapshot(position, entriesOf(facts.facts(), decoder)),
+						peer.toString());
 			}
 			else {
 				changed = this.replica.apply(new WatchableStore.Changes(position,
 						facts.facts()
 							.stream()
 							.map((fact) -> new WatchableStore.Change(fact.key(), position.at(fact.revision()),
-									FactCompressor.valueOf(fact)))
+									decoder.valueOf(fact)))
 							.toList()),
 						EventLoop.nowMillis());
 			}
 			answerFollowers();
 		}
-		for (PlatformStore.Entry record : entriesOf(Objects.requireNonNullElse(facts.retained(), List.of()))) {
+		for (PlatformStore.Entry record : entriesOf(Objects.requireNonNullElse(facts.retained(), List.of()), decoder)) {
 			changed |= this.replica.retainFromPeer(record);
 		}
 		// A snapshot that no watch has confirmed yet is not published.
@@ -460,9 +462,9 @@
 		}
 	}
 
-	private static List<PlatformStore.Entry> entriesOf(List<PeerFrame.Fact> facts) {
+	private static List<PlatformStore.Entry> entriesOf(List<PeerFrame.Fact> facts, FactCompressor.Decoder decoder) {
 		return facts.stream()
-			.map((fact) -> new PlatformStore.Entry(fact.key(), fact.position(), FactCompressor.valueOf(fact)))
+			.map((fact) -> new PlatformStore.Entry(fact.key(), fact.position(), decoder.valueOf(fact)))
 			.toList();
 	}
 
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FactCompressorTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FactCompressorTests.java
@@ -49,7 +49,7 @@
 		PeerFrame.Fact fact = this.compressor.encode("config", StorePosition.of(7), value);
 		double seconds = 8.0 * fact.value().length * FOLLOWERS / LINK_BITS_PER_SECOND;
 		Assert.assertTrue(seconds < MAX_SECONDS_OF_LINK, seconds + " s for " + value.length + " bytes");
-		Assert.assertEquals(FactCompressor.valueOf(fact), value);
+		Assert.assertEquals(FactCompressor.decoder().valueOf(fact), value);
 	}
 
 	@Test
@@ -58,14 +58,14 @@
 		Assert.assertSame(this.compressor.encode("config", StorePosition.of(7), configuration(1)).value(),
 				first.value());
 		byte[] newer = configuration(2);
-		Assert.assertEquals(FactCompressor.valueOf(this.compressor.encode("config", StorePosition.of(8), newer)),
-				newer);
+		Assert.assertEquals(
+				FactCompressor.decoder().valueOf(this.compressor.encode("config", StorePosition.of(8), newer)), newer);
 	}
 
 	@Test
 	public void smallValuesAndRemovalsAreSentAsTheyAre() {
 		Assert.assertFalse(this.compressor.encode("k", StorePosition.of(1), new byte[100]).deflated());
-		Assert.assertNull(FactCompressor.valueOf(this.compressor.encode("k", StorePosition.of(2), null)));
+		Assert.assertNull(FactCompressor.decoder().valueOf(this.compressor.encode("k", StorePosition.of(2), null)));
 	}
 
 	@Test
@@ -73,12 +73,24 @@
 		PeerFrame.Fact whole = this.compressor.encode("config", StorePosition.of(7), configuration(1));
 		byte[] half = Arrays.copyOf(whole.value(), whole.value().length / 2);
 		Assert.assertThrows(ServingException.class,
-				() -> FactCompressor.valueOf(new PeerFrame.Fact("config", 7, half, true, 0)));
-		Assert.assertThrows(ServingException.class,
-				() -> FactCompressor.valueOf(new PeerFrame.Fact("config", 7, new byte[] { 1, 2, 3 }, true, 0)));
+				() -> FactCompressor.decoder().valueOf(new PeerFrame.Fact("config", 7, half, true, 0)));
+		Assert.assertThrows(ServingException.class, () -> FactCompressor.decoder()
+			.valueOf(new PeerFrame.Fact("config", 7, new byte[] { 1, 2, 3 }, true, 0)));
 		PeerFrame.Fact oversized = this.compressor.encode("config", StorePosition.of(8),
-				new byte[FactCompressor.MAX_BYTES + 1]);
-		Assert.assertThrows(ServingException.class, () -> FactCompressor.valueOf(oversized));
+				new byte[FactCompressor.MAX_FRAME_VALUE_BYTES + 1]);
+		Assert.assertThrows(ServingException.class, () -> FactCompressor.decoder().valueOf(oversized));
+	}
+
+	// Guards against a small frame whose values each are within the limit, and decompress
+	// to more than the heap holds.
+	@Test
+	public void theValuesOfAFrameAreLimitedTogether() {
+		PeerFrame.Fact large = this.compressor.encode("config", StorePosition.of(7), new byte[1024 * 1024]);
+		FactCompressor.Decoder decoder = FactCompressor.decoder();
+		for (int i = 0; i < FactCompressor.MAX_FRAME_VALUE_BYTES / (1024 * 1024); i++) {
+			Assert.assertEquals(decoder.valueOf(large).length, 1024 * 1024);
+		}
+		Assert.assertThrows(ServingException.class, () -> decoder.valueOf(large));
 	}
 
 }
