Log no text from outside at full length

What was seen: a line of the log held a value of the store that couldn't be used in full, up to a megabyte, and up to 1,024 such lines waited in memory for the writer.

Cause: DecisionLog quoted each field as it came; whoever writes the value chooses its length.

Change: a field longer than 500 characters is cut and its length stated (Excerpt).

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/DecisionLog.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/DecisionLog.java
@@ -10,6 +10,7 @@
 
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import org.monsoonvalve.core.process.LogEvent;
+import org.monsoonvalve.core.request.Excerpt;
 
 /**
  * Logs each decision as one JSON object per line. Lines over an event's rate limit, and
@@ -71,7 +72,7 @@
 	 * Records an event with the inputs of the decision.
 	 * @param event the event
 	 * @param fields alternating field names and values; numbers and booleans are written
-	 * as such, all other values as strings
+	 * as such, all other values as strings, of which long ones are shortened
 	 */
 	public void record(LogEvent event, Object... fields) {
 		long now = this.clock.millis();
@@ -121,7 +122,7 @@
 			return;
 		}
 		line.append('"');
-		JsonStringEncoder.getInstance().quoteAsString(String.valueOf(value), line);
+		JsonStringEncoder.getInstance().quoteAsString(Excerpt.of(String.valueOf(value)), line);
 		line.append('"');
 	}
 
