Parse addresses in linear time

Cause: the pattern for the characters of an IPv6 address had two loops over the same characters, so a long text of colons cost time in proportion to the square of its length, on the control thread.

Change: a host longer than the longest IP address is none, the pattern has one loop, and a host of those characters is parsed in brackets, in which the JDK never looks it up ('.:1' was). The message quotes an excerpt.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/Address.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/Address.java
@@ -7,6 +7,7 @@
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
+import org.monsoonvalve.core.request.Excerpt;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 
@@ -25,7 +26,10 @@
 
 	private static final Pattern IPV4 = Pattern.compile("(" + OCTET + "\\.){3}" + OCTET);
 
-	private static final Pattern IPV6_CHARACTERS = Pattern.compile("[0-9a-fA-F.:]*:[0-9a-fA-F.:]*");
+	/** Longest text form of an IPv6 address, which ends with an IPv4 address. */
+	private static final int MAX_HOST_LENGTH = 45;
+
+	private static final Pattern IPV6_CHARACTERS = Pattern.compile("[0-9a-fA-F.:]+");
 
 	private static final Pattern PORT = Pattern.compile("[0-9]{1,5}");
 
@@ -52,13 +56,16 @@
 
 	// Any other host would be looked up, on the thread that opens the connection.
 	private static boolean isIpAddress(String host) {
-		return IPV4.matcher(host).matches() || (IPV6_CHARACTERS.matcher(host).matches() && isIpv6Address(host));
+		return host.length() <= MAX_HOST_LENGTH && (IPV4.matcher(host).matches() || isIpv6Address(host));
 	}
 
 	private static boolean isIpv6Address(String host) {
+		if (!IPV6_CHARACTERS.matcher(host).matches()) {
+			return false;
+		}
 		try {
-			// Needs no lookup, as only an IPv6 address has a colon.
-			InetAddress.getByName(host);
+			// A host in brackets is never looked up.
+			InetAddress.getByName("[" + host + "]");
 			return true;
 		}
 		catch (UnknownHostException ex) {
@@ -68,7 +75,7 @@
 
 	private static ServingException invalid(String text) {
 		return new ServingException(FailureCode.INVALID_SETTING,
-				"address '" + text + "' is not an IP address and a port, such as 10.0.0.1:8080");
+				"address '" + Excerpt.of(text) + "' is not an IP address and a port, such as 10.0.0.1:8080");
 	}
 
 	/**
