Drop the task of a cancelled timer at once

Cause: EventLoop.Timer.cancel() set a flag. The timer stayed in the queue until it was due or at its head, and its task referred to the exchange, the call and the content, which the memory budget no longer counted. Sequential requests alone don't show it, as a cancelled timer at the head was dropped: it takes an earlier timer, such as that of another request, for the rest to pile up.

Change: the timers are a sorted set, from which cancelling removes in logarithmic time.

Evidence, on the code before: EventLoopTests.cancelledTimersFitASmallHeap ended with an OutOfMemoryError (200 timers with a megabyte each and a million without, in 24 MB), and ExchangeTests.aRequestThatHasEndedTakesNoMemory, which measures the heap for six ways to end and two sizes, failed in 8 of 12 cases: 8.5 MB kept by each request of 4 MiB and 15 KB by each small one.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EventLoop.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/EventLoop.java
@@ -6,9 +6,10 @@
 import java.nio.channels.Selector;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.PriorityQueue;
+import java.util.NavigableSet;
 import java.util.Queue;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -37,7 +38,8 @@
 
 	private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
 
-	private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+	/** Timers in the order in which they are due; a cancelled one is removed at once. */
+	private final NavigableSet<Timer> timers = new TreeSet<>();
 
 	private List<Runnable> afterNextSelect = new ArrayList<>();
 
@@ -205,11 +207,8 @@
 		this.afterNextSelect = new ArrayList<>();
 		due.forEach(this::runAndReportFailure);
 		long now = nowMillis();
-		while (!this.timers.isEmpty() && this.timers.peek().dueMillis <= now) {
-			Timer timer = this.timers.poll();
-			if (!timer.cancelled) {
-				runAndReportFailure(timer.task);
-			}
+		while (!this.timers.isEmpty() && this.timers.first().dueMillis <= now) {
+			runAndReportFailure(this.timers.pollFirst().task);
 		}
 	}
 
@@ -230,17 +229,14 @@
 	}
 
 	private long selectTimeoutMillis() {
-		while (!this.timers.isEmpty() && this.timers.peek().cancelled) {
-			this.timers.poll();
-		}
 		return this.timers.isEmpty() ? MAX_SELECT_MILLIS
-				: Math.min(MAX_SELECT_MILLIS, this.timers.peek().dueMillis - nowMillis());
+				: Math.min(MAX_SELECT_MILLIS, this.timers.first().dueMillis - nowMillis());
 	}
 
 	/**
 	 * A task that runs once unless it is cancelled.
 	 */
-	public static final class Timer implements Comparable<Timer> {
+	public final class Timer implements Comparable<Timer> {
 
 		private final long dueMillis;
 
@@ -248,8 +244,6 @@
 
 		private final Runnable task;
 
-		private boolean cancelled;
-
 		private Timer(long dueMillis, long sequence, Runnable task) {
 			this.dueMillis = dueMillis;
 			this.sequence = sequence;
@@ -257,10 +251,11 @@
 		}
 
 		/**
-		 * Prevents the task from running. Must be called on the loop's thread.
+		 * Prevents the task from running, and drops it. Has no effect once the task runs.
+		 * Must be called on the loop's thread.
 		 */
 		public void cancel() {
-			this.cancelled = true;
+			EventLoop.this.timers.remove(this);
 		}
 
 		@Override
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/EventLoopTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/EventLoopTests.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
+import org.monsoonvalve.core.process.SmallHeap;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -35,4 +38,40 @@
 		Assert.assertEquals(this.failures, List.of());
 	}
 
+	// Cancelled timers stayed in the queue, with all that their tasks referred to.
+	@Test
+	public void cancelledTimersFitASmallHeap() throws Exception {
+		Assert.assertEquals(SmallHeap.run(CancelledTimers.class, 24), "ran");
+	}
+
+	/**
+	 * Cancels timers that refer to much memory, and very many others.
+	 */
+	public static final class CancelledTimers {
+
+		private static final long DELAY_MILLIS = 600_000;
+
+		private CancelledTimers() {
+		}
+
+		public static void main(String[] arguments) throws Exception {
+			EventLoop loop = EventLoop.start((failure) -> System.out.print(failure));
+			CountDownLatch ran = new CountDownLatch(1);
+			loop.execute(() -> {
+				// The head of the queue stays, so that no other timer reaches it.
+				loop.schedule(1, ran::countDown);
+				for (int i = 0; i < 200; i++) {
+					byte[] content = new byte[1_000_000];
+					loop.schedule(DELAY_MILLIS, () -> System.out.print(content.length)).cancel();
+				}
+				for (int i = 0; i < 1_000_000; i++) {
+					loop.schedule(DELAY_MILLIS + i % 1000, ran::countDown).cancel();
+				}
+			});
+			System.out.print(ran.await(30, TimeUnit.SECONDS) ? "ran" : "did not run");
+			System.exit(0);
+		}
+
+	}
+
 }
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ExchangeTests.java
@@ -1,11 +1,13 @@
 package org.monsoonvalve.gateway.request;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -19,10 +21,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import com.codahale.metrics.MetricRegistry;
+import org.awaitility.Awaitility;
 import org.monsoonvalve.admission.process.EndpointShares;
 import org.monsoonvalve.admission.process.ShareLoans;
 import org.monsoonvalve.core.connection.Address;
@@ -58,6 +62,12 @@
 
 	private static final String OK = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nServed-By: s1\r\nContent-Length: 2\r\n\r\nok";
 
+	/** Largest content that the platform's clients send. */
+	private static final int LARGE_BYTES = 4 * 1024 * 1024;
+
+	/** Memory that counters and pools may take in proportion to the requests. */
+	private static final int KEPT_PER_REQUEST_BYTES = 1024;
+
 	private static final String NOT_RUN = "HTTP/1.1 503 Busy\r\nRequest-Id: $ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
 	private static final String STREAM = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nServed-By: s%d\r\nContent-Type: text/event-stream\r\n"
@@ -65,6 +75,10 @@
 
 	private final List<ScriptedEndpoint> scriptedEndpoints = new ArrayList<>();
 
+	private long timeoutMillis = 1500;
+
+	private int bodyBytes = 100_000;
+
 	private EventLoop loop;
 
 	private HttpClient client;
@@ -93,6 +107,8 @@
 			throw new IllegalStateException(failure);
 		});
 		this.client = HttpClient.start(this.loop, 300);
+		this.timeoutMillis = 1500;
+		this.bodyBytes = 100_000;
 	}
 
 	@AfterMethod
@@ -119,8 +135,8 @@
 	}
 
 	private void serve(RequestKind kind, double coldRequestsPerSecond, Address... addresses) {
-		Route route = new Route("r", "h", "/a/", kind, 1500, 300, 200, 1, 2, kind == RequestKind.STREAM, false,
-				List.of(new Route.Target("s", 1)));
+		Route route = new Route("r", "h", "/a/", kind, this.timeoutMillis, 300, 200, 1, 2, kind == RequestKind.STREAM,
+				false, List.of(new Route.Target("s", 1)));
 		ServingConfiguration configuration = ServingConfiguration.of(1, List.of(route),
 				List.of(new ServiceProfile("s", "/health", 100, 0, coldRequestsPerSecond, Optional.empty())),
 				Map.of("key-1", new Workspace("foremen", 1)), true, new ClientLimits(16384, 100_000, 3000, 15_000));
@@ -145,7 +161,7 @@
 				}));
 		// A port that was free some time before may be taken by a connection meanwhile.
 		this.frontend = HttpServer.start(this.loop, new Address("127.0.0.1", 0),
-				new HttpLimits(16384, 100_000, 100_000), this.dispatcher::accept);
+				new HttpLimits(16384, this.bodyBytes, 100_000), this.dispatcher::accept);
 	}
 
 	private Socket send() throws IOException {
@@ -564,6 +580,70 @@
 		Assert.assertEquals(SmallHeap.run(PartialEvents.class, 32), "served");
 	}
 
+	@DataProvider
+	public Object[][] endedRequests() {
+		return Arrays.stream(RequestEnd.values())
+			.flatMap((end) -> Stream.of(new Object[] { end, LARGE_BYTES, 20 }, new Object[] { end, 1, 200 }))
+			.toArray(Object[][]::new);
+	}
+
+	// Cancelled timers kept the requests that had ended, with their content, until the
+	// deadline, and the process ran out of memory.
+	@Test(dataProvider = "endedRequests")
+	public void aRequestThatHasEndedTakesNoMemory(RequestEnd end, int bytes, int count) throws Exception {
+		this.timeoutMillis = 60_000;
+		this.bodyBytes = LARGE_BYTES;
+		ScriptedEndpoint endpoint = endpoint(end.response, end.connectionAction);
+		serve(RequestKind.UNSAFE, (end == RequestEnd.REFUSED) ? new Address[0] : new Address[] { endpoint.address() });
+		byte[] content = new byte[bytes];
+		// An earlier timer, as those of other requests are.
+		this.loop.execute(() -> this.loop.schedule(this.timeoutMillis / 2, () -> {
+		}));
+		sendAndEnd(end, content);
+		long before = usedHeapBytes(endpoint);
+		for (int i = 0; i < count; i++) {
+			sendAndEnd(end, content);
+		}
+		long perRequest = (usedHeapBytes(endpoint) - before) / count;
+		Assert.assertTrue(perRequest < KEPT_PER_REQUEST_BYTES + bytes / 10, "kept by each request: " + perRequest);
+	}
+
+	private void sendAndEnd(RequestEnd end, byte[] content) throws IOException {
+		try (Socket socket = new Socket("127.0.0.1", this.frontend.address().port())) {
+			socket.setSoTimeout(5000);
+			socket.getOutputStream()
+				.write(("POST /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: id-1\r\nAuthorization: Bearer key-1\r\nDeadline: "
+						+ end.deadlineMillis + "\r\nConnection: close\r\nContent-Length: " + content.length
+						+ "\r\n\r\n")
+					.getBytes(StandardCharsets.US_ASCII));
+			socket.getOutputStream().write(content);
+			if (end.status.isEmpty()) {
+				await(() -> this.dispatcher.inProgress() > 0);
+			}
+			else {
+				String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+				Assert.assertTrue(response.startsWith("HTTP/1.1 " + end.status), response);
+			}
+		}
+		await(() -> this.dispatcher.inProgress() == 0 && this.frontend.callsInProgress() == 0);
+	}
+
+	private static void await(BooleanSupplier condition) {
+		Awaitility.await().pollInterval(1, TimeUnit.MILLISECONDS).until(condition::getAsBoolean);
+	}
+
+	private static long usedHeapBytes(ScriptedEndpoint endpoint) throws InterruptedException {
+		// The endpoint closes its connections a moment after the requests have ended.
+		Thread.sleep(300);
+		endpoint.requests.clear();
+		long used = Long.MAX_VALUE;
+		for (int i = 0; i < 4; i++) {
+			System.gc();
+			used = Math.min(used, ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+		}
+		return used;
+	}
+
 	@DataProvider
 	public Object[][] tricklingStreams() {
 		return new Object[][] { { ScriptedEndpoint.ConnectionAction.COMMENTS_NOW_AND_THEN },
@@ -665,6 +745,47 @@
 		Assert.assertTrue(first.requests.size() <= 3, "sent " + first.requests.size());
 	}
 
+	/**
+	 * The ways in which a request ends.
+	 */
+	public enum RequestEnd {
+
+		/** The endpoint answers. */
+		ANSWERED(OK, ScriptedEndpoint.ConnectionAction.KEEP, 60_000, "200"),
+
+		/** There is no endpoint. */
+		REFUSED("", ScriptedEndpoint.ConnectionAction.KEEP, 60_000, "503"),
+
+		/** The endpoint closes the connection. */
+		CUT_BY_ENDPOINT("", ScriptedEndpoint.ConnectionAction.CLOSE, 60_000, "502"),
+
+		/** The caller closes the connection. */
+		CUT_BY_CALLER("", ScriptedEndpoint.ConnectionAction.KEEP, 60_000, ""),
+
+		/** The endpoint doesn't answer. */
+		TIMED_OUT("", ScriptedEndpoint.ConnectionAction.KEEP, 30, "504"),
+
+		/** The endpoint reads nothing. */
+		UNREAD_BY_ENDPOINT("", ScriptedEndpoint.ConnectionAction.UNREAD, 30, "504");
+
+		private final String response;
+
+		private final ScriptedEndpoint.ConnectionAction connectionAction;
+
+		private final long deadlineMillis;
+
+		private final String status;
+
+		RequestEnd(String response, ScriptedEndpoint.ConnectionAction connectionAction, long deadlineMillis,
+				String status) {
+			this.response = response;
+			this.connectionAction = connectionAction;
+			this.deadlineMillis = deadlineMillis;
+			this.status = status;
+		}
+
+	}
+
 	/**
 	 * Many callers of endpoints that send parts of large events, and then one of an
 	 * endpoint that is sound.
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/request/ScriptedEndpoint.java
@@ -96,6 +96,10 @@
 	private void serve(Socket socket) {
 		String earlier = "";
 		try (socket) {
+			if (this.connectionAction == ConnectionAction.UNREAD) {
+				Thread.sleep(PAUSE_MILLIS);
+				return;
+			}
 			while (true) {
 				String request = readRequest(socket.getInputStream());
 				if (request.isEmpty()) {
@@ -186,6 +190,9 @@
 		/** The connection is closed. */
 		CLOSE("", 0),
 
+		/** Nothing is read, and the connection is closed some time later. */
+		UNREAD("", 0),
+
 		/** The connection is reset. */
 		RESET("", 0),
 
