Free the buffer of a long line with its message

Cause: the reader of a connection kept the buffer of the longest line that it had read, up to twice the header limit, for as long as the connection was open, and counted nothing for it between messages. Nor did it count the lines of trailers.

Change: a buffer over 1 KiB is dropped at the end of the message, and the memory counted covers the buffer and the lines of every section.

Evidence: 600 idle connections that had sent a field of 60 KB each (HttpServerTests.idleConnectionsThatHadLongFieldsFitASmallHeap) ended a process with a heap of 32 MB before; it serves now.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/MessageReader.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/MessageReader.java
@@ -21,6 +21,9 @@
 
 	private static final int INITIAL_LINE_BYTES = 128;
 
+	/** Size of a line above which its buffer is not used for the next message. */
+	private static final int MAX_REUSED_LINE_BYTES = 1024;
+
 	/** Fields of a header section, well above what is sent. */
 	static final int MAX_FIELDS = 200;
 
@@ -109,11 +112,11 @@
 	}
 
 	/**
-	 * Returns the memory that the unfinished header section takes.
+	 * Returns the memory that the unfinished message takes, besides its content.
 	 * @return the approximate number of bytes
 	 */
 	int keptBytes() {
-		return (this.section == Section.START_LINE || this.section == Section.FIELDS) ? 2 * this.sectionBytes : 0;
+		return betweenMessages() ? 0 : this.line.length + 2 * this.sectionBytes;
 	}
 
 	private void readContent(ByteBuffer bytes) {
@@ -257,6 +260,9 @@
 
 	private void begin() {
 		enter(Section.START_LINE);
+		if (this.line.length > MAX_REUSED_LINE_BYTES) {
+			this.line = new byte[INITIAL_LINE_BYTES];
+		}
 		this.fields = new ArrayList<>();
 	}
 
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpServerTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpServerTests.java
@@ -234,6 +234,12 @@
 		Assert.assertEquals(SmallHeap.run(UnreadResponses.class, 48), "served");
 	}
 
+	// The buffer of a long line stayed with its connection, which no budget counted.
+	@Test
+	public void idleConnectionsThatHadLongFieldsFitASmallHeap() throws Exception {
+		Assert.assertEquals(SmallHeap.run(LongFields.class, 32), "served");
+	}
+
 	private static String request(int port) throws IOException {
 		try (Socket socket = new Socket("127.0.0.1", port)) {
 			socket.setSoTimeout(READ_TIMEOUT_MILLIS);
@@ -284,6 +290,34 @@
 
 	}
 
+	/**
+	 * A server whose clients each send a request with a long field and then nothing.
+	 */
+	public static final class LongFields {
+
+		private LongFields() {
+		}
+
+		public static void main(String[] arguments) throws Exception {
+			EventLoop loop = EventLoop.start((failure) -> System.out.print(failure));
+			HttpServer server = HttpServer.start(loop, new Address("127.0.0.1", 0),
+					new HttpLimits(64 * 1024, 1000, 1000),
+					(call) -> call.reply(200, Headers.empty(), "served".getBytes()));
+			byte[] request = ("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + "a".repeat(60_000) + "\r\n\r\n")
+				.getBytes(StandardCharsets.US_ASCII);
+			List<Socket> sockets = new ArrayList<>();
+			for (int i = 0; i < 600; i++) {
+				Socket socket = new Socket("127.0.0.1", server.address().port());
+				sockets.add(socket);
+				socket.getOutputStream().write(request);
+				readUntil(socket, "served");
+			}
+			System.out.print(HttpServerTests.request(server.address().port()));
+			System.exit(0);
+		}
+
+	}
+
 	/**
 	 * A server whose clients leave large responses unread.
 	 */
