Forget client connections that have closed

Cause: HttpClient kept a pool for each address it had ever called, with the closed connections in it, and PeerTransport the last connection to each peer; addresses come and go with endpoints and peers. The timer of a connect stayed until it was due, with the connection, although that had opened at once. A check for progress that was rescheduled while its exchange ended on another thread stayed too, with the listener and so the request.

Change: a closed connection leaves the pool, an empty pool the map; a connect cancels its timer; a check scheduled for an ended exchange is cancelled.

Evidence: connectionsToPeersThatHaveGoneAreForgotten found 5 entries left of 5 peers before, and none now. closedConnectionsLeaveThePool holds; the pool had no code before that could empty it. The race of the check has no test.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -132,8 +133,10 @@
 				opened.completeExceptionally(unreachable(address, "cancelled"));
 			}
 		});
-		this.timer.schedule(() -> opened.completeExceptionally(unreachable(address, "connect timeout")),
-				this.connectTimeoutMillis, TimeUnit.MILLISECONDS);
+		Future<?> timeout = this.timer.schedule(
+				() -> opened.completeExceptionally(unreachable(address, "connect timeout")), this.connectTimeoutMillis,
+				TimeUnit.MILLISECONDS);
+		opened.whenComplete((connection, failure) -> timeout.cancel(false));
 		return opened;
 	}
 
@@ -166,6 +169,9 @@
 	public CompletableFuture<HttpResponse> exchangePooled(Address address, HttpRequest request, long timeoutMillis,
 			int maxBodyBytes) {
 		HttpConnection idle = this.idleConnections.getOrDefault(address, NO_IDLE_CONNECTIONS).pollFirst();
+		if (idle != null) {
+			forget(idle);
+		}
 		if (idle == null || !idle.idle()) {
 			return connect(address)
 				.thenCompose((connection) -> exchangeAndPool(connection, request, timeoutMillis, maxBodyBytes));
@@ -180,17 +186,46 @@
 				connection.close();
 				return;
 			}
-			ConcurrentLinkedDeque<HttpConnection> pool = this.idleConnections.computeIfAbsent(connection.address(),
-					(key) -> new ConcurrentLinkedDeque<>());
-			if (pool.size() < MAX_IDLE_PER_ADDRESS && connection.reusable()) {
-				pool.addFirst(connection);
-			}
-			else {
+			if (!connection.reusable() || !pool(connection)) {
 				connection.close();
 			}
 		});
 	}
 
+	private boolean pool(HttpConnection connection) {
+		if (this.idleConnections.getOrDefault(connection.address(), NO_IDLE_CONNECTIONS)
+			.size() >= MAX_IDLE_PER_ADDRESS) {
+			return false;
+		}
+		connection.onClosed(() -> forget(connection));
+		this.idleConnections.compute(connection.address(), (address, present) -> {
+			ConcurrentLinkedDeque<HttpConnection> pool = (present != null) ? present : new ConcurrentLinkedDeque<>();
+			pool.addFirst(connection);
+			return pool;
+		});
+		// It may have been closed before it was in the pool.
+		if (!connection.idle()) {
+			forget(connection);
+		}
+		return true;
+	}
+
+	// Addresses come and go, and a closed connection keeps its buffers.
+	private void forget(HttpConnection connection) {
+		this.idleConnections.computeIfPresent(connection.address(), (address, pool) -> {
+			pool.remove(connection);
+			return pool.isEmpty() ? null : pool;
+		});
+	}
+
+	/**
+	 * Returns the number of addresses to which connections are pooled.
+	 * @return the number of addresses
+	 */
+	int pooledAddresses() {
+		return this.idleConnections.size();
+	}
+
 	/**
 	 * Returns the byte counter.
 	 * @return the counter of all connections of this client
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpConnection.java
@@ -51,6 +51,9 @@
 
 	private volatile long keepAliveMillis;
 
+	private volatile Runnable onClosed = () -> {
+	};
+
 	HttpConnection(Address address, Connection<?> connection, ScheduledExecutorService timer) {
 		this.address = address;
 		this.connection = connection;
@@ -170,7 +173,16 @@
 		return this.keepAliveMillis;
 	}
 
+	/**
+	 * Sets the action to run when the connection has been closed.
+	 * @param action the action, which may run more than once
+	 */
+	void onClosed(Runnable action) {
+		this.onClosed = action;
+	}
+
 	void handleClose() {
+		this.onClosed.run();
 		Exchange exchange = this.inFlight.get();
 		if (exchange != null && exchange.completedByPeer()) {
 			exchange.complete();
@@ -302,6 +314,10 @@
 
 		private void scheduleProgressCheck(long millis) {
 			this.progressCheck = HttpConnection.this.timer.schedule(this::checkProgress, millis, TimeUnit.MILLISECONDS);
+			// The exchange may have ended meanwhile, on another thread.
+			if (HttpConnection.this.inFlight.get() != this) {
+				cancelProgressCheck();
+			}
 		}
 
 		private void cancelProgressCheck() {
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
@@ -161,14 +161,17 @@
 		this.pendingRequests.put(number, request);
 		Future<?> timeout = this.timer.schedule(() -> handleTimeout(number), timeoutMillis, TimeUnit.MILLISECONDS);
 		reply.whenComplete((answer, failure) -> timeout.cancel(false));
-		connectionTo(address).whenComplete((connection, failure) -> {
+		CompletableFuture<Connection<?>> opened = connectionTo(address);
+		opened.whenComplete((connection, failure) -> {
 			if (failure != null) {
+				this.connections.remove(address, opened);
 				fail(number, failure.getMessage());
 				return;
 			}
 			request.connection = connection;
 			write(connection, new Envelope(number, false, frame));
 			if (!connection.isOpen()) {
+				forget(connection);
 				failRequestsOn(connection);
 			}
 		});
@@ -256,6 +259,20 @@
 		}
 	}
 
+	// Peers come and go, and a closed connection keeps its buffers.
+	private void forget(Connection<?> closed) {
+		this.connections.values()
+			.removeIf((opened) -> !opened.isCompletedExceptionally() && opened.getNow(null) == closed);
+	}
+
+	/**
+	 * Returns the number of peers to which a connection is open or being opened.
+	 * @return the number of peers
+	 */
+	int connectedPeers() {
+		return this.connections.size();
+	}
+
 	private void failRequestsOn(Connection<?> closed) {
 		this.pendingRequests.entrySet()
 			.stream()
@@ -422,6 +439,7 @@
 		@Override
 		public NextAction handleClose(FilterChainContext context) {
 			release(context.getConnection());
+			forget(context.getConnection());
 			failRequestsOn(context.getConnection());
 			return context.getInvokeAction();
 		}
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpConnectionTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpConnectionTests.java
@@ -38,6 +38,29 @@
 		this.client.close();
 	}
 
+	// The pool kept the closed connections to each address for good.
+	@Test
+	public void closedConnectionsLeaveThePool() throws Exception {
+		EventLoop loop = EventLoop.start((failure) -> {
+			throw new IllegalStateException(failure);
+		});
+		for (int i = 0; i < 5; i++) {
+			HttpServer server = HttpServer.start(loop, new Address("127.0.0.1", 0), HttpLimits.defaults(),
+					(call) -> call.reply(200, Headers.empty(), new byte[0]));
+			for (int request = 0; request < 3; request++) {
+				this.client.exchangePooled(server.address(), HttpRequest.get("/"), 3000, 1000).join();
+			}
+			Assert.assertEquals(this.client.pooledAddresses(), 1);
+			server.close();
+			long endMillis = EventLoop.nowMillis() + 3000;
+			while (this.client.pooledAddresses() > 0) {
+				Assert.assertTrue(EventLoop.nowMillis() < endMillis, "the connection is closed");
+				Thread.sleep(5);
+			}
+		}
+		loop.close();
+	}
+
 	private ServerSocket startServer(String response, boolean closeAfterwards) throws IOException {
 		ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
 		Thread thread = new Thread(() -> {
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/PeerTransportTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/PeerTransportTests.java
@@ -100,6 +100,24 @@
 		}
 	}
 
+	// Closed connections to peers that had gone were kept for good.
+	@Test
+	public void connectionsToPeersThatHaveGoneAreForgotten() throws Exception {
+		int before = this.first.connectedPeers();
+		for (int i = 0; i < 5; i++) {
+			Address address;
+			try (ServerSocket peer = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+				address = new Address("127.0.0.1", peer.getLocalPort());
+				CompletableFuture<PeerFrame> reply = this.first.ask(address, new PeerFrame.SlotRelease("5"), 30_000);
+				peer.accept().close();
+				Assert.assertThrows(ExecutionException.class, () -> reply.get(3, TimeUnit.SECONDS));
+			}
+			CompletableFuture<PeerFrame> refused = this.first.ask(address, new PeerFrame.SlotRelease("6"), 3000);
+			Assert.assertThrows(ExecutionException.class, () -> refused.get(3, TimeUnit.SECONDS));
+		}
+		Assert.assertEquals(this.first.connectedPeers(), before);
+	}
+
 	// Guards against peers whose unfinished or unread frames together exhaust the heap.
 	@Test
 	public void framesOfManyPeersFitASmallHeap() throws Exception {
