Hold no more for a request than its budget counts

Cause: an attempt that relayed a long response kept its first 64 KiB until the end, although the budget had released them. The timers that let a request return to an endpoint that declined it, or look again for one to continue a stream, referred to the request for 50 ms after it had ended.

Change: the buffer is dropped when it is passed on, the search is cancelled with the request, and the other timer refers to the sets of endpoints alone.

No test of its own: the first takes 64 KiB a response, the second 50 ms.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Attempt.java
@@ -62,7 +62,7 @@
 
 	private boolean relaying;
 
-	private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+	private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
 
 	private final MemoryBudget.Reservation memory;
 
@@ -361,9 +361,12 @@
 
 	private void relayBuffered() {
 		this.relaying = true;
+		byte[] content = this.buffered.toByteArray();
+		// The rest of the response may take long, and its beginning is no longer needed.
+		this.buffered = new ByteArrayOutputStream();
 		this.memory.resize(0);
 		this.exchange.response().start(this.status, ForwardedHeaders.ofResponse(this.headers));
-		this.exchange.response().write(this.buffered.toByteArray());
+		this.exchange.response().write(content);
 	}
 
 	private boolean retryableStatus() {
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/request/Exchange.java
@@ -72,6 +72,8 @@
 
 	private EventLoop.Timer deadline;
 
+	private EventLoop.Timer resumption;
+
 	private int attempts;
 
 	private int possibleRuns;
@@ -119,8 +121,9 @@
 			return;
 		}
 		Optional<Endpoint> chosen = findEndpoint(candidates);
+		// A stream that has begun waits for a free endpoint until its deadline.
 		if (chosen.isEmpty() && this.response.started()) {
-			this.dispatcher.loop().schedule(RESUME_RETRY_MILLIS, () -> resume(reason));
+			this.resumption = this.dispatcher.loop().schedule(RESUME_RETRY_MILLIS, () -> sendNext(reason));
 			return;
 		}
 		if (chosen.isEmpty()) {
@@ -225,13 +228,6 @@
 		return counts;
 	}
 
-	// A stream that has begun waits for a free endpoint until its deadline.
-	private void resume(String reason) {
-		if (!this.done) {
-			sendNext(reason);
-		}
-	}
-
 	// Continues after an attempt that certainly did not run. Attempts that an endpoint
 	// received and rejected use the retry budget, too.
 	void notRun(String reason, boolean reachedEndpoint) {
@@ -367,6 +363,9 @@
 		this.done = true;
 		leaveQueue(QueueExit.ENDED);
 		this.deadline.cancel();
+		if (this.resumption != null) {
+			this.resumption.cancel();
+		}
 		if (this.currentAttempt != null) {
 			this.currentAttempt.stop();
 			this.currentAttempt = null;
@@ -482,10 +481,10 @@
 			if (!this.response.started()) {
 				this.decliningEndpoints.add(declining);
 			}
-			this.dispatcher.loop().schedule(RESUME_RETRY_MILLIS, () -> {
-				this.triedEndpoints.remove(declining);
-				this.decliningEndpoints.remove(declining);
-			});
+			// The timer outlives the request if another endpoint answers it at once.
+			List<Set<Endpoint>> exclusions = List.of(this.triedEndpoints, this.decliningEndpoints);
+			this.dispatcher.loop()
+				.schedule(RESUME_RETRY_MILLIS, () -> exclusions.forEach((excluded) -> excluded.remove(declining)));
 		}
 		notRun(reason, true);
 	}
