Compress each value for peers once, whatever the others are

Cause: at most 4 MiB of compressed values were kept, the eldest evicted first. Large values of another writer that exceed that together, such as ten of a megabyte, were compressed again for each follower; the followers timed out and asked again, while the process that watches the store learned nothing of it. A record that is retained beside the stored one was compressed again as well.

Change: a value that hardly shrinks is sent as it is; if the rest takes too much, those that shrink least are. Each value is so compressed once for its position. Followers that wait for the same changes share one answer, and retained records have a compressor of their own. Values of keys that are gone are forgotten.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactCompressor.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FactCompressor.java
@@ -1,9 +1,14 @@
 package org.monsoonvalve.gateway.process;
 
 import java.io.ByteArrayOutputStream;
-import java.util.LinkedHashMap;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Predicate;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
@@ -16,8 +21,9 @@
 /**
  * Compresses large values for peers. A process passes each change on to all processes of
  * its zone, and a configuration of some thousand routes, sent to twenty of them, would
- * occupy the link of a small VM for seconds. Each value is compressed once, unless many
- * others were in the meantime. Confined to the control thread.
+ * occupy the link of a small VM for seconds. Each value is compressed once. One that
+ * hardly shrinks is sent as it is, and so are those that shrink least if all together
+ * would take too much memory. Confined to the control thread.
  *
  * @author monsoonvalve maintainers
  */
@@ -37,7 +43,13 @@
 	 */
 	private static final long MAX_KEPT_BYTES = 4 * 1024 * 1024;
 
-	private final Map<String, CompressedValue> latestByKey = new LinkedHashMap<>();
+	/** Largest size of a compressed value in proportion to the value. */
+	private static final double MAX_RATIO = 0.9;
+
+	private final Map<String, SentValue> latestByKey = new HashMap<>();
+
+	/** The keys whose compressed values are kept, the one that shrinks least last. */
+	private final NavigableSet<CompressedKey> compressedKeys = new TreeSet<>();
 
 	private long keptBytes;
 
@@ -53,25 +65,55 @@
 			forget(key);
 			return new PeerFrame.Fact(key, position.revision(), value, false, position.era());
 		}
-		CompressedValue latest = this.latestByKey.get(key);
+		SentValue latest = this.latestByKey.get(key);
 		if (latest == null || !latest.position().equals(position)) {
-			latest = new CompressedValue(position, deflate(value));
-			keep(key, latest);
+			latest = keep(key, position, value.length, deflate(value));
 		}
-		return new PeerFrame.Fact(key, position.revision(), latest.bytes(), true, position.era());
+		return latest.deflated().isPresent()
+				? new PeerFrame.Fact(key, position.revision(), latest.deflated().get(), true, position.era())
+				: new PeerFrame.Fact(key, position.revision(), value, false, position.era());
 	}
 
-	private void keep(String key, CompressedValue value) {
+	private SentValue keep(String key, StorePosition position, int length, byte[] deflated) {
 		forget(key);
-		this.latestByKey.put(key, value);
-		this.keptBytes += value.bytes().length;
+		double ratio = (double) deflated.length / length;
+		if (ratio > MAX_RATIO) {
+			SentValue whole = SentValue.whole(position);
+			this.latestByKey.put(key, whole);
+			return whole;
+		}
+		SentValue compressed = new SentValue(position, Optional.of(deflated), ratio);
+		this.latestByKey.put(key, compressed);
+		this.compressedKeys.add(new CompressedKey(ratio, key));
+		this.keptBytes += deflated.length;
 		while (this.keptBytes > MAX_KEPT_BYTES) {
-			forget(this.latestByKey.keySet().iterator().next());
+			dropCompressed(this.compressedKeys.last().key());
 		}
+		return compressed;
+	}
+
+	// The value is sent as it is from now on; compressing it again for each peer would
+	// delay all that this process learns of the store.
+	private void dropCompressed(String key) {
+		SentValue dropped = this.latestByKey.get(key);
+		forget(key);
+		this.latestByKey.put(key, SentValue.whole(dropped.position()));
 	}
 
 	private void forget(String key) {
-		Optional.ofNullable(this.latestByKey.remove(key)).ifPresent((value) -> this.keptBytes -= value.bytes().length);
+		SentValue value = this.latestByKey.remove(key);
+		if (value != null && value.deflated().isPresent()) {
+			this.compressedKeys.remove(new CompressedKey(value.ratio(), key));
+			this.keptBytes -= value.deflated().get().length;
+		}
+	}
+
+	/**
+	 * Forgets the values of keys that don't exist any more.
+	 * @param exists tells whether a key exists
+	 */
+	void retain(Predicate<String> exists) {
+		List.copyOf(this.latestByKey.keySet()).stream().filter(exists.negate()).forEach(this::forget);
 	}
 
 	/**
@@ -108,7 +150,36 @@
 		}
 	}
 
-	private record CompressedValue(StorePosition position, byte[] bytes) {
+	/**
+	 * How a value is sent.
+	 *
+	 * @param position the position of the value
+	 * @param deflated the compressed value, empty if it is sent as it is
+	 * @param ratio the size of the compressed value in proportion to the value
+	 */
+	private record SentValue(StorePosition position, Optional<byte[]> deflated, double ratio) {
+
+		private static SentValue whole(StorePosition position) {
+			return new SentValue(position, Optional.empty(), 1);
+		}
+
+	}
+
+	/**
+	 * A key whose compressed value is kept.
+	 *
+	 * @param ratio the size of the compressed value in proportion to the value
+	 * @param key the key
+	 */
+	private record CompressedKey(double ratio, String key) implements Comparable<CompressedKey> {
+
+		private static final Comparator<CompressedKey> ORDER = Comparator.comparingDouble(CompressedKey::ratio)
+			.thenComparing(CompressedKey::key);
+
+		@Override
+		public int compareTo(CompressedKey other) {
+			return ORDER.compare(this, other);
+		}
 
 	}
 
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreSync.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -15,6 +17,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.EventLoop;
@@ -133,6 +136,9 @@
 
 	private final FactCompressor compressor = new FactCompressor();
 
+	/** A key may have a retained record beside the one that the store holds. */
+	private final FactCompressor retainedCompressor = new FactCompressor();
+
 	private final List<WaitingFollower> waitingFollowers = new ArrayList<>();
 
 	private FleetView view = FleetView.empty();
@@ -189,7 +195,7 @@
 	 * thread
 	 */
 	long historyBytes() {
-		return this.replica.historyBytes() + this.compressor.keptBytes();
+		return this.replica.historyBytes() + this.compressor.keptBytes() + this.retainedCompressor.keptBytes();
 	}
 
 	/**
@@ -381,6 +387,9 @@
 	}
 
 	private void publishView() {
+		Predicate<String> exists = (key) -> this.replica.entry(key).isPresent();
+		this.compressor.retain(exists);
+		this.retainedCompressor.retain(exists);
 		this.view = this.viewBuilder.build(this.replica);
 		this.onChange.accept(this.view);
 	}
@@ -497,33 +506,53 @@
 	private void answerFollowers() {
 		List<WaitingFollower> waiting = List.copyOf(this.waitingFollowers);
 		this.waitingFollowers.clear();
-		waiting.forEach((follower) -> follower.reply().complete(factsFor(follower.question())));
+		// Most followers have the same content, so that its changes are compressed once.
+		Map<FactsRange, PeerFrame> answers = new HashMap<>();
+		waiting.forEach((follower) -> follower.reply()
+			.complete(answers.computeIfAbsent(rangeOf(follower.question()), this::factsIn)));
+	}
+
+	private PeerFrame factsFor(PeerFrame.FactsQuestion question) {
+		return factsIn(rangeOf(question));
+	}
+
+	private FactsRange rangeOf(PeerFrame.FactsQuestion question) {
+		return new FactsRange(question.after(), question.configurationVersion() < this.view.configurationVersion());
 	}
 
 	// Replies with the changes after a position, or with all entries if the history no
 	// longer includes those changes.
-	private PeerFrame factsFor(PeerFrame.FactsQuestion question) {
+	private PeerFrame factsIn(FactsRange range) {
 		StorePosition position = this.replica.position();
-		Optional<WatchableStore.Changes> changes = this.replica.changesAfter(question.after());
+		Optional<WatchableStore.Changes> changes = this.replica.changesAfter(range.after());
 		List<PeerFrame.Fact> facts = changes
 			.map((missing) -> missing.changes()
 				.stream()
 				.map((change) -> this.compressor.encode(change.key(), change.position(), change.value()))
 				.toList())
-			.orElseGet(() -> encode(this.replica.storedEntries()));
-		boolean lacksConfiguration = question.configurationVersion() < this.view.configurationVersion();
-		List<PeerFrame.Fact> retained = (changes.isEmpty() || lacksConfiguration)
-				? encode(this.replica.retainedForPeers()) : List.of();
+			.orElseGet(() -> encode(this.compressor, this.replica.storedEntries()));
+		List<PeerFrame.Fact> retained = (changes.isEmpty() || range.lacksConfiguration())
+				? encode(this.retainedCompressor, this.replica.retainedForPeers()) : List.of();
 		return new PeerFrame.Facts(position.revision(), storeAgeMillis(), changes.isEmpty(), facts, position.era(),
 				retained);
 	}
 
-	private List<PeerFrame.Fact> encode(Collection<PlatformStore.Entry> entries) {
+	private static List<PeerFrame.Fact> encode(FactCompressor compressor, Collection<PlatformStore.Entry> entries) {
 		return entries.stream()
-			.map((entry) -> this.compressor.encode(entry.key(), entry.position(), entry.value()))
+			.map((entry) -> compressor.encode(entry.key(), entry.position(), entry.value()))
 			.toList();
 	}
 
+	/**
+	 * What a peer lacks.
+	 *
+	 * @param after the position of the peer's content
+	 * @param lacksConfiguration whether it has an older configuration
+	 */
+	private record FactsRange(StorePosition after, boolean lacksConfiguration) {
+
+	}
+
 	/**
 	 * A follower's request that waits for a change.
 	 *
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FactCompressorTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FactCompressorTests.java
@@ -2,8 +2,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.monsoonvalve.core.connection.PeerFrame;
 import org.monsoonvalve.core.connection.StorePosition;
@@ -15,6 +18,9 @@
 
 	private static final int ROUTES = 2000;
 
+	/** Time within which a stored configuration is in force. */
+	private static final long CONFIG_APPLY_MILLIS = 2000;
+
 	/**
 	 * Followers of the process that watches the store, in a fleet of 95 and five zones.
 	 */
@@ -62,6 +68,21 @@
 				FactCompressor.decoder().valueOf(this.compressor.encode("config", StorePosition.of(8), newer)), newer);
 	}
 
+	// Values of another writer that exceed what is kept were compressed anew for each
+	// follower, while the process learned nothing of the store.
+	@Test(timeOut = CONFIG_APPLY_MILLIS)
+	public void manyLargeValuesAreCompressedOnce() {
+		Random random = new Random(1);
+		List<byte[]> values = Stream.generate(() -> new byte[1_000_000]).limit(8).toList();
+		values.forEach(random::nextBytes);
+		for (int follower = 0; follower < FOLLOWERS; follower++) {
+			for (int i = 0; i < values.size(); i++) {
+				PeerFrame.Fact fact = this.compressor.encode("k" + i, StorePosition.of(i + 1), values.get(i));
+				Assert.assertEquals(FactCompressor.decoder().valueOf(fact).length, values.get(i).length);
+			}
+		}
+	}
+
 	@Test
 	public void smallValuesAndRemovalsAreSentAsTheyAre() {
 		Assert.assertFalse(this.compressor.encode("k", StorePosition.of(1), new byte[100]).deflated());
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/StoreSyncTests.java
@@ -7,14 +7,17 @@
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 import org.monsoonvalve.core.connection.Address;
 import org.monsoonvalve.core.connection.EventLoop;
 import org.monsoonvalve.core.connection.PeerFrame;
+import org.monsoonvalve.core.connection.PeerTransport;
 import org.monsoonvalve.core.connection.StorePosition;
 import org.monsoonvalve.core.process.Codec;
 import org.monsoonvalve.gateway.version.FleetView;
@@ -126,6 +129,43 @@
 		awaitEverywhere(this.processes, this.store.put("endpoints/vm-9", new byte[] { 'e' }), RECOVERY_MILLIS);
 	}
 
+	// Large values of another writer were compressed anew for each follower, while the
+	// process learned nothing of the store.
+	@Test
+	public void manyFollowersOfLargeChangesDoNotDelayTheReplica() throws IOException {
+		Process reader = this.processes.get(0);
+		this.processes.forEach((process) -> process.store.refused = true);
+		ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+		PeerTransport follower = PeerTransport.start(Process.freeAddress(), timer,
+				(frame) -> CompletableFuture.completedFuture(new PeerFrame.Ack()));
+		StorePosition position = StorePosition.NONE;
+		for (int i = 0; i < 10; i++) {
+			position = this.store.put("other/" + i, hexDigits(new Random(i)));
+		}
+		Address address = reader.view.members().get("gateway-0").peerAddress();
+		StorePosition known = reader.view.position();
+		List<CompletableFuture<PeerFrame>> answers = Stream
+			.generate(() -> follower.ask(address, new PeerFrame.FactsQuestion(known.revision(), 600, known.era(), 0),
+					START_TIMEOUT_MILLIS))
+			.limit(10)
+			.toList();
+		reader.store.refused = false;
+		awaitEverywhere(List.of(reader), position, RECOVERY_MILLIS);
+		awaitEverywhere(List.of(reader), this.store.put("endpoints/vm-1", new byte[] { 'e' }), RECOVERY_MILLIS);
+		answers.forEach((answer) -> Assert.assertTrue(answer.join() instanceof PeerFrame.Facts));
+		follower.close();
+		timer.shutdownNow();
+	}
+
+	// Shrinks to about half.
+	private static byte[] hexDigits(Random random) {
+		byte[] digits = new byte[1_000_000];
+		for (int i = 0; i < digits.length; i++) {
+			digits[i] = (byte) Character.forDigit(random.nextInt(16), 16);
+		}
+		return digits;
+	}
+
 	private static byte[] configuration(int version) {
 		return ("c" + version).getBytes(StandardCharsets.UTF_8);
 	}
