--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpServerTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpServerTests.java
@@ -234,6 +234,27 @@
 		Assert.assertEquals(SmallHeap.run(UnreadResponses.class, 48), "served");
 	}
 
+	// Guards against parsing whose cost grows faster than the content.
+	@Test(timeOut = 10_000)
+	public void contentInVerySmallChunksIsReadWithoutDelay() throws Exception {
+		long small = chunkedUploadNanos(100_000);
+		long large = chunkedUploadNanos(400_000);
+		Assert.assertTrue(large < 12 * small, small + " ns for 100,000 chunks, " + large + " ns for 400,000");
+	}
+
+	private static long chunkedUploadNanos(int chunks) throws IOException {
+		HttpServer server = startServer((call) -> call.reply(200, Headers.empty(), "served".getBytes()));
+		long startNanos = System.nanoTime();
+		try (Socket socket = new Socket("127.0.0.1", server.address().port())) {
+			String request = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+					+ "1\r\nx\r\n".repeat(chunks) + "0\r\n\r\n";
+			socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+			Assert.assertTrue(readUntil(socket, "served").endsWith("served"));
+		}
+		server.close();
+		return System.nanoTime() - startNanos;
+	}
+
 	// The buffer of a long line stayed with its connection, which no budget counted.
 	@Test
 	public void idleConnectionsThatHadLongFieldsFitASmallHeap() throws Exception {
