Close the socket of a connect that has timed out

Cause: neither the client nor the peer transport ended a connect that had timed out; only its result was discarded. The socket waited for its peer until the system gave up, which takes minutes, and counted among the open files.

Change: both connect with a future that closes the socket when it is cancelled, which happens when the result is no longer wanted. A connection that opens at that moment is closed.

--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/HttpClient.java
@@ -14,6 +14,7 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.GrizzlyFuture;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -108,14 +109,15 @@
 	 * Opens a connection.
 	 * @param address the address
 	 * @return the connection, or a {@link ServingException} with
-	 * {@link FailureCode#UNREACHABLE}
+	 * {@link FailureCode#UNREACHABLE}; cancelling it ends the attempt
 	 */
+	@SuppressWarnings("rawtypes")
 	public CompletableFuture<HttpConnection> connect(Address address) {
 		CompletableFuture<HttpConnection> opened = new CompletableFuture<>();
-		this.connector.connect(address.toSocketAddress(), null, new EmptyCompletionHandler<>() {
+		GrizzlyFuture<Connection> pending = this.connector.connect(address.toSocketAddress());
+		pending.addCompletionHandler(new EmptyCompletionHandler<>() {
 
 			@Override
-			@SuppressWarnings("rawtypes")
 			public void completed(Connection connection) {
 				HttpConnection httpConnection = new HttpConnection(address, connection, HttpClient.this.timer);
 				if (!opened.complete(httpConnection)) {
@@ -136,7 +138,11 @@
 		Future<?> timeout = this.timer.schedule(
 				() -> opened.completeExceptionally(unreachable(address, "connect timeout")), this.connectTimeoutMillis,
 				TimeUnit.MILLISECONDS);
-		opened.whenComplete((connection, failure) -> timeout.cancel(false));
+		opened.whenComplete((connection, failure) -> {
+			timeout.cancel(false);
+			// Closes the socket, which would wait for the peer for minutes.
+			pending.cancel(false);
+		});
 		return opened;
 	}
 
--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
@@ -19,6 +19,7 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.GrizzlyFuture;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChain;
@@ -216,14 +217,17 @@
 		return opened != null && !opened.isCompletedExceptionally() && (!opened.isDone() || opened.join().isOpen());
 	}
 
+	@SuppressWarnings("rawtypes")
 	private CompletableFuture<Connection<?>> connect(Address address) {
 		CompletableFuture<Connection<?>> opened = new CompletableFuture<>();
-		this.connector.connect(address.toSocketAddress(), null, new EmptyCompletionHandler<>() {
+		GrizzlyFuture<Connection> pending = this.connector.connect(address.toSocketAddress());
+		pending.addCompletionHandler(new EmptyCompletionHandler<>() {
 
 			@Override
-			@SuppressWarnings("rawtypes")
 			public void completed(Connection connection) {
-				opened.complete(connection);
+				if (!opened.complete(connection)) {
+					connection.terminateSilently();
+				}
 			}
 
 			@Override
@@ -236,6 +240,8 @@
 				opened.completeExceptionally(cause);
 			}
 		});
+		// Closes the socket, which would wait for the peer for minutes.
+		opened.whenComplete((connection, failure) -> pending.cancel(false));
 		return opened;
 	}
 
@@ -246,7 +252,10 @@
 		}
 		CompletableFuture<Connection<?>> opened = this.connections.remove(request.address);
 		if (opened != null) {
-			opened.thenAccept(Connection::terminateSilently);
+			opened.completeExceptionally(new IOException("connect timeout"));
+			if (!opened.isCompletedExceptionally()) {
+				opened.join().terminateSilently();
+			}
 		}
 		fail(number, "timed out");
 	}
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpConnectionTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/connection/HttpConnectionTests.java
@@ -3,15 +3,20 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
+import com.sun.management.UnixOperatingSystemMXBean;
 import org.monsoonvalve.core.request.FailureCode;
 import org.monsoonvalve.core.request.ServingException;
 import org.testng.Assert;
@@ -38,6 +43,46 @@
 		this.client.close();
 	}
 
+	// The sockets of connections that timed out waited for their peer for minutes.
+	@Test
+	public void aConnectionThatTimesOutLeavesNoSocket() throws Exception {
+		UnixOperatingSystemMXBean system = (UnixOperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+		HttpClient impatient = HttpClient.start(50);
+		List<Socket> unaccepted = new ArrayList<>();
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+			Address address = new Address("127.0.0.1", server.getLocalPort());
+			fillAcceptQueue(address, unaccepted);
+			long before = system.getOpenFileDescriptorCount();
+			for (int i = 0; i < 40; i++) {
+				CompletableFuture<HttpConnection> opened = impatient.connect(address);
+				Assert.assertThrows(CompletionException.class, opened::join);
+			}
+			long endMillis = EventLoop.nowMillis() + 3000;
+			while (system.getOpenFileDescriptorCount() > before + 10) {
+				Assert.assertTrue(EventLoop.nowMillis() < endMillis, "the sockets are closed");
+				Thread.sleep(5);
+			}
+		}
+		for (Socket socket : unaccepted) {
+			socket.close();
+		}
+		impatient.close();
+	}
+
+	private static void fillAcceptQueue(Address address, List<Socket> unaccepted) throws IOException {
+		for (int i = 0; i < 100; i++) {
+			Socket socket = new Socket();
+			unaccepted.add(socket);
+			try {
+				socket.connect(address.toSocketAddress(), 200);
+			}
+			catch (SocketTimeoutException ex) {
+				return;
+			}
+		}
+		throw new IllegalStateException("the queue is not full");
+	}
+
 	// The pool kept the closed connections to each address for good.
 	@Test
 	public void closedConnectionsLeaveThePool() throws Exception {
