Find keys of other clients in logarithmic time

Cause: the maps of a view and the set of changed keys were those of Map.copyOf and Set.copyOf, which probe one key after the other. Other clients choose the keys of the store, and with keys of the same hash code building a view takes time in proportion to the square of their number, on the control thread.

Change: the maps of a view are immutable hash maps, which order such keys.

--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetViewBuilder.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/FleetViewBuilder.java
@@ -14,6 +14,7 @@
 import org.monsoonvalve.core.request.ServingException;
 import org.monsoonvalve.gateway.version.EndpointRecord;
 import org.monsoonvalve.gateway.version.FleetView;
+import org.monsoonvalve.gateway.version.ImmutableHashMap;
 import org.monsoonvalve.gateway.version.Member;
 import org.monsoonvalve.gateway.version.ServingConfiguration;
 import org.monsoonvalve.gateway.version.ZoneGroups;
@@ -193,7 +194,7 @@
 
 		private final Map<String, V> entries = new HashMap<>();
 
-		private Map<String, V> snapshot = Map.of();
+		private Map<String, V> snapshot = ImmutableHashMap.copyOf(Map.of());
 
 		private boolean changed;
 
@@ -209,7 +210,7 @@
 
 		private Map<String, V> snapshot() {
 			if (this.changed) {
-				this.snapshot = Map.copyOf(this.entries);
+				this.snapshot = ImmutableHashMap.copyOf(this.entries);
 				this.changed = false;
 			}
 			return this.snapshot;
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/process/StoreReplica.java
@@ -125,7 +125,7 @@
 	 * @return the keys
 	 */
 	Set<String> takeChangedKeys() {
-		Set<String> taken = Set.copyOf(this.changedKeys);
+		Set<String> taken = new HashSet<>(this.changedKeys);
 		this.changedKeys.clear();
 		return taken;
 	}
--- a/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/FleetView.java
+++ b/monsoonvalve-gateway/src/main/java/org/monsoonvalve/gateway/version/FleetView.java
@@ -1,5 +1,6 @@
 package org.monsoonvalve.gateway.version;
 
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -30,11 +31,11 @@
 	 * Creates a view with copies of the collections.
 	 */
 	public FleetView {
-		evacuatedZones = Set.copyOf(evacuatedZones);
-		endpoints = Map.copyOf(endpoints);
-		members = Map.copyOf(members);
-		groups = Map.copyOf(groups);
-		roleHolders = Map.copyOf(roleHolders);
+		evacuatedZones = Collections.unmodifiableSet(new HashSet<>(evacuatedZones));
+		endpoints = ImmutableHashMap.copyOf(endpoints);
+		members = ImmutableHashMap.copyOf(members);
+		groups = ImmutableHashMap.copyOf(groups);
+		roleHolders = ImmutableHashMap.copyOf(roleHolders);
 	}
 
 	/**
--- a/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FleetViewBuilderTests.java
+++ b/monsoonvalve-gateway/src/test/java/org/monsoonvalve/gateway/process/FleetViewBuilderTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.monsoonvalve.core.connection.PlatformStore;
@@ -18,6 +19,11 @@
 
 	private static final int ENDPOINTS = 760;
 
+	private static final int COLLIDING_KEYS = 1 << 15;
+
+	/** Time within which a stored configuration is in force. */
+	private static final long CONFIG_APPLY_MILLIS = 2000;
+
 	private final TextDecoder decoder = new TextDecoder();
 
 	private final DecisionLog log = DecisionLog.start(Clock.systemUTC(), "gateway-1", (line) -> {
@@ -67,6 +73,25 @@
 		Assert.assertEquals(third.roleHolders(), Map.of("planner-kano-a", "gateway-1"));
 	}
 
+	// Guards against keys of another writer that are chosen to collide.
+	@Test(timeOut = CONFIG_APPLY_MILLIS)
+	public void keysWithTheSameHashCodeDoNotDelayTheView() {
+		this.replica.reset(new PlatformStore.Snapshot(COLLIDING_KEYS,
+				IntStream.range(0, COLLIDING_KEYS)
+					.mapToObj(
+							(i) -> new PlatformStore.Entry("endpoints/" + collidingName(i), i + 1, new byte[] { 'e' }))
+					.toList()),
+				0);
+		Assert.assertEquals(this.builder.build(this.replica).endpoints().size(), COLLIDING_KEYS);
+	}
+
+	// "Aa" and "BB" have the same hash code, and so have all names made of them.
+	private static String collidingName(int number) {
+		return IntStream.range(0, 16)
+			.mapToObj((bit) -> ((number >> bit & 1) == 0) ? "Aa" : "BB")
+			.collect(Collectors.joining());
+	}
+
 	@Test
 	public void aSnapshotThatLacksAnEntryRemovesIt() {
 		apply("endpoints/vm-1", "e");
