--- a/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
+++ b/monsoonvalve-core/src/main/java/org/monsoonvalve/core/connection/PeerTransport.java
@@ -252,6 +252,7 @@
 		}
 		CompletableFuture<Connection<?>> opened = this.connections.remove(request.address);
 		if (opened != null) {
+			// Ends a connect that is pending.
 			opened.completeExceptionally(new IOException("connect timeout"));
 			if (!opened.isCompletedExceptionally()) {
 				opened.join().terminateSilently();
--- a/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/LogEventTests.java
+++ b/monsoonvalve-core/src/test/java/org/monsoonvalve/core/process/LogEventTests.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 
+import org.monsoonvalve.core.request.Excerpt;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -33,4 +34,12 @@
 				LogEvent.values().length);
 	}
 
+	// What a peer or a caller sent was logged at full length.
+	@Test
+	public void longArgumentsAreShortened() {
+		String message = EventLog.message(LogEvent.TASK_FAILED, "poll", "x".repeat(1_000_000));
+		Assert.assertEquals(message,
+				"MV1004 task poll failed: " + "x".repeat(Excerpt.MAX_LENGTH) + "... (1000000 characters)");
+	}
+
 }
